--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+.PHONY: dev build test fmt lint race bench measure capacity generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+dev:
+	go run ./cmd/teaselseamd dev
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+fmt:
+	go tool gofumpt -l -w .
+
+lint:
+	go vet ./...
+	go tool staticcheck ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+measure:
+	go run ./cmd/measure
+
+generate:
+	go generate ./...
--- /dev/null
+++ b/internal/request/importance.go
@@ -0,0 +1,43 @@
+package request
+
+import "fmt"
+
+// Importance orders calls for load shedding. A larger value is shed later.
+type Importance uint8
+
+// Importance levels, least important first.
+const (
+	Sheddable Importance = iota
+	Normal
+	High
+	Critical
+
+	// NumImportance is the number of levels.
+	NumImportance = 4
+)
+
+var importanceNames = [NumImportance]string{"sheddable", "normal", "high", "critical"}
+
+// String returns the level's name as used in headers and settings.
+func (i Importance) String() string {
+	if int(i) >= NumImportance {
+		return fmt.Sprintf("importance(%d)", uint8(i))
+	}
+	return importanceNames[i]
+}
+
+// ParseImportance reads a level's name.
+func ParseImportance(s string) (Importance, error) {
+	for i, name := range importanceNames {
+		if s == name {
+			return Importance(i), nil
+		}
+	}
+	return Normal, fmt.Errorf("importance %q is not one of sheddable, normal, high, critical", s)
+}
+
+// Inherit returns the importance of a nested call. A nested call may lower the
+// importance of its parent but never raise it.
+func Inherit(parent, wanted Importance) Importance {
+	return min(parent, wanted)
+}
--- /dev/null
+++ b/internal/request/refusal.go
@@ -0,0 +1,140 @@
+package request
+
+import (
+	"fmt"
+	"time"
+)
+
+// Outcome tells whether a call reached a backend server.
+type Outcome uint8
+
+const (
+	// MayHaveRun means that the call may have had its effect. It is the zero
+	// value, so that a forgotten field never claims that a call did not run.
+	MayHaveRun Outcome = iota
+	// NotRun means that no backend server has run or will run the call.
+	NotRun
+	// Completed means that a backend server ran the call and its whole answer is known.
+	Completed
+)
+
+var outcomeNames = [...]string{"may_have_run", "not_run", "completed"}
+
+// String returns the outcome's name as used in headers.
+func (o Outcome) String() string {
+	if int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("outcome(%d)", uint8(o))
+	}
+	return outcomeNames[o]
+}
+
+// ParseOutcome reads an outcome's name. An unknown name yields MayHaveRun, the
+// only safe assumption.
+func ParseOutcome(s string) Outcome {
+	for i, name := range outcomeNames {
+		if s == name {
+			return Outcome(i)
+		}
+	}
+	return MayHaveRun
+}
+
+// Reason is the machine-readable cause of a refusal.
+type Reason string
+
+// Reasons of refusals.
+const (
+	ReasonBadRequest       Reason = "bad_request"
+	ReasonBodyTooLarge     Reason = "body_too_large"
+	ReasonUnknownRoute     Reason = "unknown_route"
+	ReasonUnknownKey       Reason = "unknown_key"
+	ReasonKeyRevoked       Reason = "key_revoked"
+	ReasonRouteForbidden   Reason = "route_forbidden"
+	ReasonOverShare        Reason = "over_share"
+	ReasonOverload         Reason = "overload"
+	ReasonDownstream       Reason = "downstream_overload"
+	ReasonDeadline         Reason = "deadline"
+	ReasonDraining         Reason = "draining"
+	ReasonNoBackend        Reason = "no_backend_server"
+	ReasonBackendLost      Reason = "backend_server_lost"
+	ReasonPeerLost         Reason = "peer_lost"
+	ReasonNodeStale        Reason = "node_stale"
+	ReasonQuarantined      Reason = "quarantined"
+	ReasonDuplicate        Reason = "duplicate"
+	ReasonIDTooOld         Reason = "id_too_old"
+	ReasonClaimUnavailable Reason = "claim_unavailable"
+	ReasonBadAnswer        Reason = "bad_answer"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonWrongIncarnation Reason = "wrong_incarnation"
+)
+
+// HTTP status codes of refusals. They are repeated here because core packages
+// do not import net/http.
+const (
+	statusBadRequest            = 400
+	statusUnauthorized          = 401
+	statusForbidden             = 403
+	statusNotFound              = 404
+	statusConflict              = 409
+	statusRequestEntityTooLarge = 413
+	statusMisdirectedRequest    = 421
+	statusUnprocessableEntity   = 422
+	statusTooManyRequests       = 429
+	statusBadGateway            = 502
+	statusServiceUnavailable    = 503
+	statusGatewayTimeout        = 504
+	statusClientClosedRequest   = 499 // customary for a caller that went away
+)
+
+var reasonStatus = map[Reason]int{
+	ReasonBadRequest:       statusBadRequest,
+	ReasonBodyTooLarge:     statusRequestEntityTooLarge,
+	ReasonUnknownRoute:     statusNotFound,
+	ReasonUnknownKey:       statusUnauthorized,
+	ReasonKeyRevoked:       statusUnauthorized,
+	ReasonRouteForbidden:   statusForbidden,
+	ReasonOverShare:        statusTooManyRequests,
+	ReasonDeadline:         statusGatewayTimeout,
+	ReasonBackendLost:      statusBadGateway,
+	ReasonPeerLost:         statusBadGateway,
+	ReasonBadAnswer:        statusBadGateway,
+	ReasonQuarantined:      statusUnprocessableEntity,
+	ReasonDuplicate:        statusConflict,
+	ReasonIDTooOld:         statusConflict,
+	ReasonCancelled:        statusClientClosedRequest,
+	ReasonWrongIncarnation: statusMisdirectedRequest,
+}
+
+// Status returns the HTTP status of a reason; 503 unless listed otherwise.
+func (r Reason) Status() int {
+	if s, ok := reasonStatus[r]; ok {
+		return s
+	}
+	return statusServiceUnavailable
+}
+
+// Refusal is the final answer to a call that teaselseam gives up on. It is a
+// value, because refusing must be far cheaper than serving.
+type Refusal struct {
+	Reason  Reason
+	Outcome Outcome
+	// RetryAfter is when the caller may try again; zero means that trying again
+	// at any time is pointless or not allowed.
+	RetryAfter time.Duration
+}
+
+// Refuse returns a refusal of a call that did not run.
+func Refuse(reason Reason, retryAfter time.Duration) Refusal {
+	return Refusal{Reason: reason, Outcome: NotRun, RetryAfter: retryAfter}
+}
+
+// Unknown returns a refusal of a call that may have run.
+func Unknown(reason Reason) Refusal {
+	return Refusal{Reason: reason, Outcome: MayHaveRun}
+}
+
+// RetryAfterSeconds returns the value of the Retry-After header, in whole
+// seconds rounded up; zero means that the header is left out.
+func (r Refusal) RetryAfterSeconds() int {
+	return int((r.RetryAfter + time.Second - 1) / time.Second)
+}
