--- /dev/null
+++ b/internal/guard/backend.go
@@ -0,0 +1,158 @@
+package guard
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/control"
+	"github.com/teaselseam/teaselseam/internal/request"
+)
+
+// Timers and limits towards the backend server.
+const (
+	backendDialTimeout = time.Second
+	backendIdleTimeout = time.Minute
+	keepAliveInterval  = time.Second
+	keepAliveProbes    = 3
+	// announcementTimeout is the age at which an announcement no longer counts.
+	announcementTimeout = 5 * time.Second
+	// defaultConnections is used until the backend server announces its limit.
+	defaultConnections = 100
+)
+
+// Backend is the backend server beside the node, as it announced itself.
+type Backend struct {
+	current atomic.Pointer[announced]
+}
+
+// announced is one instance of the backend server with its connections.
+type announced struct {
+	control.Announcement
+	received time.Time
+	client   *http.Client
+}
+
+// NewBackend returns a Backend without an announcement.
+func NewBackend() *Backend { return &Backend{} }
+
+// Announce records an announcement. A new instance or address gets new
+// connections.
+func (b *Backend) Announce(a control.Announcement, now time.Time) {
+	next := &announced{Announcement: a, received: now}
+	if old := b.current.Load(); old != nil && old.Address == a.Address && old.Instance == a.Instance && old.MaxConnections == a.MaxConnections {
+		next.client = old.client
+	} else {
+		next.client = newBackendClient(a.MaxConnections)
+	}
+	b.current.Store(next)
+}
+
+func newBackendClient(maxConnections int) *http.Client {
+	if maxConnections <= 0 {
+		maxConnections = defaultConnections
+	}
+	dialer := &net.Dialer{
+		Timeout:         backendDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     maxConnections,
+			MaxIdleConnsPerHost: maxConnections,
+			IdleConnTimeout:     backendIdleTimeout,
+			DisableCompression:  true,
+		},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Draining reports whether the backend server said that it is leaving.
+func (b *Backend) Draining() bool {
+	a := b.current.Load()
+	return a != nil && a.Announcement.Draining
+}
+
+// Serves reports whether a backend server of the service has announced itself
+// recently.
+func (b *Backend) Serves(service string) bool {
+	a := b.current.Load()
+	return a != nil && a.Service == service && time.Since(a.received) < announcementTimeout
+}
+
+// do sends a call to the backend server and reads its answer.
+func (b *Backend) do(ctx context.Context, c *call.Call, token string) (*call.Response, Result) {
+	a := b.current.Load()
+	if a == nil {
+		return call.Refused(request.Refuse(request.ReasonNoBackend, time.Second)), Result{NotSent: true}
+	}
+	trace := &sendTrace{}
+	req, err := http.NewRequestWithContext(trace.with(ctx), c.Method, "http://"+a.Address+c.URI, bytes.NewReader(c.Body))
+	if err != nil {
+		return call.Refused(request.Refuse(request.ReasonBadRequest, 0)), Result{NotSent: true}
+	}
+	setBackendHeaders(req, c, token)
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return failure(ctx, trace)
+	}
+	out := &call.Response{Status: resp.StatusCode, Header: call.WithoutOwn(resp.Header)}
+	if resp.Header.Get(request.HeaderOutcome) == request.NotRun.String() {
+		resp.Body.Close()
+		return call.Refused(request.Refuse(request.ReasonOverload, retryAfter(resp.Header))), Result{Shed: true}
+	}
+	if err := out.Fill(resp); err != nil {
+		return call.Refused(request.Unknown(request.ReasonBadAnswer)), Result{Failed: true}
+	}
+	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	return out, Result{Shed: shed}
+}
+
+// setBackendHeaders passes on the caller's headers and adds the call's own. The
+// key, its digest and the node headers never reach the backend server.
+func setBackendHeaders(req *http.Request, c *call.Call, token string) {
+	for name, values := range c.Header {
+		req.Header[name] = values
+	}
+	req.Header.Set(request.HeaderID, string(c.ID))
+	req.Header.Set(request.HeaderRoot, string(c.Root))
+	req.Header.Set(request.HeaderWorkspace, c.Workspace)
+	req.Header.Set(request.HeaderImportance, c.Importance.String())
+	req.Header.Set(request.HeaderTimeout, strconv.FormatInt(time.Until(c.Deadline).Milliseconds(), 10))
+	req.Header.Set(request.HeaderCall, token)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // otherwise net/http adds its own
+	}
+}
+
+// failure classifies a call without an answer. It did not run if no connection
+// was made or nothing of the request was written.
+func failure(ctx context.Context, trace *sendTrace) (*call.Response, Result) {
+	if !trace.written() {
+		if ctx.Err() != nil {
+			return call.Refused(request.Refuse(request.ReasonDeadline, 0)), Result{NotSent: true}
+		}
+		return call.Refused(request.Refuse(request.ReasonBackendLost, time.Second)), Result{NotSent: true, Failed: true}
+	}
+	if context.Cause(ctx) == context.DeadlineExceeded {
+		return call.Refused(request.Unknown(request.ReasonDeadline)), Result{Failed: true}
+	}
+	if ctx.Err() != nil {
+		return call.Refused(request.Unknown(request.ReasonCancelled)), Result{}
+	}
+	return call.Refused(request.Unknown(request.ReasonBackendLost)), Result{Failed: true}
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return time.Second
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/guard/running.go
@@ -0,0 +1,95 @@
+package guard
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"sync"
+
+	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/retry"
+)
+
+// Entry is a call that the backend server runs now. Nested calls find it by its
+// token and inherit from it.
+type Entry struct {
+	Token string
+	Call  *call.Call
+	// Context ends when the call ends, and with it the nested calls.
+	Context context.Context
+	cancel  context.CancelFunc
+
+	mu     sync.Mutex
+	budget retry.Budget
+}
+
+// Running are the calls that the backend server runs now, by token. It is safe
+// for concurrent use.
+type Running struct {
+	mu      sync.Mutex
+	entries map[string]*Entry
+}
+
+func newRunning() *Running { return &Running{entries: map[string]*Entry{}} }
+
+func (r *Running) start(ctx context.Context, c *call.Call) *Entry {
+	ctx, cancel := context.WithCancel(ctx)
+	e := &Entry{Token: rand.Text(), Call: c, Context: ctx, cancel: cancel, budget: retry.NewBudget(c.Budget)}
+	r.mu.Lock()
+	r.entries[e.Token] = e
+	r.mu.Unlock()
+	return e
+}
+
+// finish ends a call and its nested calls and returns its unused retry budget.
+func (r *Running) finish(e *Entry) int {
+	r.mu.Lock()
+	delete(r.entries, e.Token)
+	r.mu.Unlock()
+	e.cancel()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.Close()
+}
+
+// Lookup returns the running call with a token.
+func (r *Running) Lookup(token string) (*Entry, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, ok := r.entries[token]
+	return e, ok
+}
+
+// Count returns the number of running calls.
+func (r *Running) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries)
+}
+
+// Lend takes a part of the call's retry budget for a nested call.
+func (e *Entry) Lend() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.Lend()
+}
+
+// Return gives back what a nested call did not use.
+func (e *Entry) Return(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget.Return(n)
+}
+
+// closer runs a function when a streamed body is closed.
+type closer struct {
+	io.ReadCloser
+	once    sync.Once
+	onClose func()
+}
+
+func (c *closer) Close() error {
+	err := c.ReadCloser.Close()
+	c.once.Do(c.onClose)
+	return err
+}
--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,34 @@
+// Package membership tracks which nodes are part of the fleet.
+package membership
+
+import "time"
+
+// Status is what a node believes about a member.
+type Status uint8
+
+// Member statuses.
+const (
+	Alive Status = iota + 1
+	Suspect
+	Dead
+	Left
+)
+
+// Member is one incarnation of a node and the backend server beside it.
+type Member struct {
+	ID          string // node name
+	Incarnation string // unique to each start of the process
+	DataCentre  string
+	Region      string
+	PeerAddress string // IP:port
+	Status      Status
+	// Version is raised by the member itself, to refute a suspicion or to
+	// announce a change of the fields below.
+	Version        uint64
+	Service        string // of the backend server; empty if none has announced itself
+	Draining       bool
+	Started        time.Time
+	BackendStarted time.Time
+	MaxConnections int   // that the backend server accepts; 0 means unknown
+	AppliedSeq     int64 // newest change log entry in force
+}
--- /dev/null
+++ b/internal/settings/compiled.go
@@ -0,0 +1,192 @@
+package settings
+
+import (
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/request"
+)
+
+// Workspace holds the effective settings of a workspace.
+type Workspace struct {
+	Name          string
+	Rate          float64 // calls per second, fleet-wide
+	Burst         float64 // calls, fleet-wide
+	Weight        float64
+	MaxImportance request.Importance
+}
+
+// Route holds the effective settings of a route.
+type Route struct {
+	Name        string
+	Path        string
+	Service     string
+	Workspaces  map[string]bool // nil means open to all
+	Importance  request.Importance
+	Idempotent  bool
+	Timeout     time.Duration
+	RetryBudget int
+}
+
+// Allows reports whether a workspace may use the route.
+func (r *Route) Allows(workspace string) bool {
+	return r.Workspaces == nil || r.Workspaces[workspace]
+}
+
+// Service holds the effective settings of a service.
+type Service struct {
+	Name            string
+	RetryRatio      float64
+	MaxConnections  int
+	MaxBody         int64 // bytes
+	QueueTime       time.Duration
+	ProgressTimeout time.Duration
+}
+
+// Compiled is a tree with all values resolved and typed, for use on the traffic
+// path. It is immutable.
+type Compiled struct {
+	tree       *Tree
+	routes     []*Route // longest path first
+	workspaces map[string]*Workspace
+	services   map[string]*Service
+}
+
+// Compile resolves a valid tree.
+func Compile(t *Tree) *Compiled {
+	c := &Compiled{tree: t, workspaces: map[string]*Workspace{}, services: map[string]*Service{}}
+	for b := range t.branches {
+		switch b.Kind {
+		case KindWorkspace:
+			c.workspaces[b.Name] = t.workspace(b.Name)
+		case KindService:
+			c.services[b.Name] = t.service(b.Name)
+		case KindRoute:
+			if r := t.route(b.Name); r.Path != "" && r.Service != "" {
+				c.routes = append(c.routes, r)
+			}
+		}
+	}
+	sort.Slice(c.routes, func(i, j int) bool {
+		a, b := c.routes[i], c.routes[j]
+		if len(a.Path) != len(b.Path) {
+			return len(a.Path) > len(b.Path)
+		}
+		return a.Name < b.Name
+	})
+	return c
+}
+
+// Tree returns the tree that c was compiled from.
+func (c *Compiled) Tree() *Tree { return c.tree }
+
+// MatchRoute returns the route with the longest matching path prefix. A prefix
+// matches whole path segments only.
+func (c *Compiled) MatchRoute(path string) (*Route, bool) {
+	for _, r := range c.routes {
+		if rest, ok := strings.CutPrefix(path, r.Path); ok && (rest == "" || rest[0] == '/' || strings.HasSuffix(r.Path, "/")) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Workspace returns the settings of a workspace; one without a branch of its
+// own has the defaults.
+func (c *Compiled) Workspace(name string) *Workspace {
+	if w, ok := c.workspaces[name]; ok {
+		return w
+	}
+	return c.tree.workspace(name)
+}
+
+// Service returns the settings of a service, likewise.
+func (c *Compiled) Service(name string) *Service {
+	if s, ok := c.services[name]; ok {
+		return s
+	}
+	return c.tree.service(name)
+}
+
+func (t *Tree) workspace(name string) *Workspace {
+	b := Branch{Kind: KindWorkspace, Name: name}
+	return &Workspace{
+		Name:          name,
+		Rate:          t.float(b, "rate"),
+		Burst:         t.float(b, "burst"),
+		Weight:        t.float(b, "weight"),
+		MaxImportance: t.importance(b, "max_importance"),
+	}
+}
+
+func (t *Tree) route(name string) *Route {
+	b := Branch{Kind: KindRoute, Name: name}
+	path, _ := t.Lookup(b, "path")
+	service, _ := t.Lookup(b, "service")
+	idempotent, _ := t.Lookup(b, "idempotent")
+	return &Route{
+		Name:        name,
+		Path:        path,
+		Service:     service,
+		Workspaces:  t.workspaceSet(b),
+		Importance:  t.importance(b, "importance"),
+		Idempotent:  idempotent == "true",
+		Timeout:     t.duration(b, "timeout"),
+		RetryBudget: int(t.integer(b, "retry_budget")),
+	}
+}
+
+func (t *Tree) service(name string) *Service {
+	b := Branch{Kind: KindService, Name: name}
+	return &Service{
+		Name:            name,
+		RetryRatio:      t.float(b, "retry_ratio"),
+		MaxConnections:  int(t.integer(b, "max_connections")),
+		MaxBody:         t.integer(b, "max_body"),
+		QueueTime:       t.duration(b, "queue_time"),
+		ProgressTimeout: t.duration(b, "progress_timeout"),
+	}
+}
+
+func (t *Tree) workspaceSet(b Branch) map[string]bool {
+	text, _ := t.Lookup(b, "workspaces")
+	if strings.TrimSpace(text) == "*" {
+		return nil
+	}
+	set := map[string]bool{}
+	for _, name := range strings.Split(text, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			set[name] = true
+		}
+	}
+	return set
+}
+
+// The typed lookups ignore parse errors, because a tree is validated before it
+// is compiled.
+
+func (t *Tree) float(b Branch, key string) float64 {
+	s, _ := t.Lookup(b, key)
+	v, _ := strconv.ParseFloat(s, 64)
+	return v
+}
+
+func (t *Tree) integer(b Branch, key string) int64 {
+	s, _ := t.Lookup(b, key)
+	v, _ := strconv.ParseInt(s, 10, 64)
+	return v
+}
+
+func (t *Tree) duration(b Branch, key string) time.Duration {
+	s, _ := t.Lookup(b, key)
+	v, _ := time.ParseDuration(s)
+	return v
+}
+
+func (t *Tree) importance(b Branch, key string) request.Importance {
+	s, _ := t.Lookup(b, key)
+	v, _ := request.ParseImportance(s)
+	return v
+}
--- /dev/null
+++ b/internal/settings/tree.go
@@ -0,0 +1,136 @@
+// Package settings is the tree that operators edit. Its root, the branch
+// "defaults", holds fleet-wide values. Below it are branches for workspaces,
+// routes and services. A branch name may have several parts separated by "/";
+// each branch inherits every value that it does not set from the branch above it.
+//
+// Every setting is described by one entry of the schema: its type, unit, bounds
+// and documentation. A tree is either valid as a whole or not accepted at all.
+package settings
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+)
+
+// Kind is the kind of a branch.
+type Kind string
+
+// Branch kinds.
+const (
+	KindDefaults  Kind = "defaults"
+	KindWorkspace Kind = "workspace"
+	KindRoute     Kind = "route"
+	KindService   Kind = "service"
+)
+
+// Branch identifies a branch of the tree. Name is empty for the defaults.
+type Branch struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name,omitempty"`
+}
+
+// Defaults is the root branch.
+var Defaults = Branch{Kind: KindDefaults}
+
+// String returns the branch as an INI section name, for example "route spec/read".
+func (b Branch) String() string {
+	if b.Kind == KindDefaults {
+		return string(KindDefaults)
+	}
+	return string(b.Kind) + " " + b.Name
+}
+
+// ParseBranch reads a section name.
+func ParseBranch(s string) (Branch, error) {
+	if s == string(KindDefaults) {
+		return Defaults, nil
+	}
+	kind, name, found := strings.Cut(s, " ")
+	b := Branch{Kind: Kind(kind), Name: strings.TrimSpace(name)}
+	switch b.Kind {
+	case KindWorkspace, KindRoute, KindService:
+	default:
+		return Branch{}, fmt.Errorf("section %q is not defaults, workspace NAME, route NAME or service NAME", s)
+	}
+	if !found || !validName(b.Name) {
+		return Branch{}, fmt.Errorf("section %q has an invalid name; use letters, digits, '-', '_', '.' and '/'", s)
+	}
+	return b, nil
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > maxNameLength || strings.HasPrefix(s, "/") || strings.HasSuffix(s, "/") {
+		return false
+	}
+	for _, c := range s {
+		switch {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		case strings.ContainsRune("-_./", c):
+		default:
+			return false
+		}
+	}
+	return !strings.Contains(s, "//")
+}
+
+// maxNameLength is the longest branch name, in bytes.
+const maxNameLength = 128
+
+// Parent returns the branch that b inherits from; false for the defaults.
+func (b Branch) Parent() (Branch, bool) {
+	if b.Kind == KindDefaults {
+		return Branch{}, false
+	}
+	if i := strings.LastIndexByte(b.Name, '/'); i >= 0 {
+		return Branch{Kind: b.Kind, Name: b.Name[:i]}, true
+	}
+	return Defaults, true
+}
+
+// Values are the settings written in one branch.
+type Values map[string]string
+
+// Tree is a set of branches. Treat it as immutable; With returns a changed copy.
+type Tree struct {
+	branches map[Branch]Values
+}
+
+// NewTree returns a tree without any branch.
+func NewTree() *Tree {
+	return &Tree{branches: map[Branch]Values{}}
+}
+
+// Branches returns the branches of the tree. The caller must not change the values.
+func (t *Tree) Branches() map[Branch]Values {
+	return maps.Clone(t.branches)
+}
+
+// Branch returns what is written in one branch itself; false if it is absent.
+func (t *Tree) Branch(b Branch) (Values, bool) {
+	v, ok := t.branches[b]
+	return maps.Clone(v), ok
+}
+
+// With returns a copy of the tree in which a branch has the given values. Nil
+// values remove the branch.
+func (t *Tree) With(b Branch, v Values) *Tree {
+	c := &Tree{branches: maps.Clone(t.branches)}
+	if v == nil {
+		delete(c.branches, b)
+	} else {
+		c.branches[b] = maps.Clone(v)
+	}
+	return c
+}
+
+// Lookup returns the value of a setting for a branch and the branch that sets
+// it. The origin is the zero Branch if the value is the schema's default.
+func (t *Tree) Lookup(b Branch, key string) (value string, origin Branch) {
+	for ok := true; ok; b, ok = b.Parent() {
+		if v, set := t.branches[b][key]; set {
+			return v, b
+		}
+	}
+	return schema[key].def, Branch{}
+}
