--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -3,6 +3,7 @@
 package call
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -67,3 +68,13 @@
 
 // Refused returns a response that is a refusal.
 func Refused(r request.Refusal) *Response { return &Response{Refusal: &r} }
+
+// onceBody is a request body that net/http cannot send a second time. It also
+// hides an empty body from net/http, which would otherwise repeat a GET on its
+// own when a reused connection fails.
+type onceBody struct{ *bytes.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// Body returns a request body that is sent at most once.
+func Body(data []byte) io.ReadCloser { return onceBody{bytes.NewReader(data)} }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -24,6 +24,43 @@
 	return resp, nil
 }
 
+var errNotServed = twirp.Unimplemented.Error("not served by this node yet")
+
+// Probe contacts a third node for a peer.
+func (c *Control) Probe(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeResponse, error) {
+	return nil, errNotServed
+}
+
+// Push takes change log entries and revocations from a peer.
+func (c *Control) Push(context.Context, *peerpb.PushRequest) (*peerpb.PushResponse, error) {
+	return nil, errNotServed
+}
+
+// Fetch serves change log entries to a peer.
+func (c *Control) Fetch(context.Context, *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
+	return nil, errNotServed
+}
+
+// AcquireClaim serves a claim holder.
+func (c *Control) AcquireClaim(context.Context, *peerpb.AcquireClaimRequest) (*peerpb.AcquireClaimResponse, error) {
+	return nil, errNotServed
+}
+
+// ReleaseClaim serves a claim holder.
+func (c *Control) ReleaseClaim(context.Context, *peerpb.ReleaseClaimRequest) (*peerpb.ReleaseClaimResponse, error) {
+	return nil, errNotServed
+}
+
+// Borrow serves a lender.
+func (c *Control) Borrow(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowResponse, error) {
+	return nil, errNotServed
+}
+
+// HandOver serves a lender.
+func (c *Control) HandOver(context.Context, *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
+	return nil, errNotServed
+}
+
 func memberToPB(m membership.Member) *peerpb.Member {
 	return &peerpb.Member{
 		Id:                   m.ID,
--- a/internal/guard/backend.go
+++ b/internal/guard/backend.go
@@ -1,7 +1,6 @@
 package guard
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -93,10 +92,11 @@
 		return call.Refused(request.Refuse(request.ReasonNoBackend, time.Second)), Result{NotSent: true}
 	}
 	trace := &sendTrace{}
-	req, err := http.NewRequestWithContext(trace.with(ctx), c.Method, "http://"+a.Address+c.URI, bytes.NewReader(c.Body))
+	req, err := http.NewRequestWithContext(trace.with(ctx), c.Method, "http://"+a.Address+c.URI, call.Body(c.Body))
 	if err != nil {
 		return call.Refused(request.Refuse(request.ReasonBadRequest, 0)), Result{NotSent: true}
 	}
+	req.ContentLength = int64(len(c.Body))
 	setBackendHeaders(req, c, token)
 	resp, err := a.client.Do(req)
 	if err != nil {
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -20,7 +20,7 @@
 	cancel  context.CancelFunc
 
 	mu     sync.Mutex
-	budget retry.Budget
+	budget *retry.Budget
 }
 
 // Running are the calls that the backend server runs now, by token. It is safe
@@ -34,7 +34,7 @@
 
 func (r *Running) start(ctx context.Context, c *call.Call) *Entry {
 	ctx, cancel := context.WithCancel(ctx)
-	e := &Entry{Token: rand.Text(), Call: c, Context: ctx, cancel: cancel, budget: retry.NewBudget(c.Budget)}
+	e := &Entry{Token: rand.Text(), Call: c, Context: ctx, cancel: cancel, budget: retry.Open(c.Budget)}
 	r.mu.Lock()
 	r.entries[e.Token] = e
 	r.mu.Unlock()
@@ -67,18 +67,17 @@
 	return len(r.entries)
 }
 
-// Lend takes a part of the call's retry budget for a nested call.
-func (e *Entry) Lend() int {
+// Lend takes a part of the call's retry budget for a nested call and returns it
+// with a function that gives back what the nested call did not use.
+func (e *Entry) Lend() (attempts int, giveBack func(unused int)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.budget.Lend()
-}
-
-// Return gives back what a nested call did not use.
-func (e *Entry) Return(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.budget.Return(n)
+	loan := e.budget.Lend(1)
+	return loan.Attempts(), func(unused int) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		loan.Return(unused)
+	}
 }
 
 // closer runs a function when a streamed body is closed.
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,192 @@
+// Package ingress is where callers, and the backend server beside the node for
+// its nested calls, send requests. It turns a request into a call, sends it to
+// a guard of the target service, retries what may be retried, and writes the
+// complete response or a refusal.
+package ingress
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/control"
+	"github.com/teaselseam/teaselseam/internal/guard"
+	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/internal/settings"
+)
+
+// Control is what the ingress needs from the control state.
+type Control interface {
+	Snapshot() *control.Snapshot
+	Fresh(now time.Time) bool
+	Announce(ctx context.Context, a control.Announcement)
+}
+
+// Pressure refuses early what would fail behind the first hop.
+type Pressure interface {
+	// Admit returns a refusal if the call should not be sent.
+	Admit(now time.Time, c *call.Call) *request.Refusal
+	// Observe learns from the hints of a response.
+	Observe(now time.Time, route string, load call.Load)
+}
+
+// Ingress serves callers. It is an http.Handler.
+type Ingress struct {
+	log      *slog.Logger
+	control  Control
+	guard    *guard.Guard
+	backend  *guard.Backend
+	forward  *Forwarder
+	services *Services
+	pressure Pressure
+
+	mu       sync.Mutex
+	draining bool
+	active   sync.WaitGroup
+}
+
+// New returns the ingress of a node.
+func New(log *slog.Logger, ctl Control, g *guard.Guard, b *guard.Backend, f *Forwarder, s *Services, p Pressure) *Ingress {
+	return &Ingress{log: log, control: ctl, guard: g, backend: b, forward: f, services: s, pressure: p}
+}
+
+// AnnouncePath is where the backend server beside the node announces itself.
+const AnnouncePath = "/teaselseam/announce"
+
+// ServeHTTP serves one request.
+func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == AnnouncePath {
+		in.serveAnnouncement(w, r)
+		return
+	}
+	if !in.enter() {
+		w.Header().Set("Connection", "close")
+		writeRefusal(w, "", request.Refuse(request.ReasonDraining, time.Second))
+		return
+	}
+	defer in.active.Done()
+	started := time.Now()
+	c, parent, refusal := in.newCall(r, started)
+	if refusal != nil {
+		in.logRefusal(c, refusal, "admit")
+		writeRefusal(w, idOf(c), *refusal)
+		return
+	}
+	resp := in.serve(r.Context(), c, parent)
+	if resp.Refusal != nil {
+		in.logRefusal(c, resp.Refusal, "call")
+		writeRefusal(w, c.ID, *resp.Refusal)
+		return
+	}
+	writeResponse(w, c.ID, resp)
+}
+
+// Drain refuses new requests and waits until the running ones have ended.
+func (in *Ingress) Drain(ctx context.Context) error {
+	in.mu.Lock()
+	in.draining = true
+	in.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		in.active.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (in *Ingress) enter() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.draining {
+		return false
+	}
+	in.active.Add(1)
+	return true
+}
+
+// serve runs the attempts of a call within the deadline and, for a nested call,
+// within the lifetime of its parent.
+func (in *Ingress) serve(ctx context.Context, c *call.Call, parent *guard.Entry) *call.Response {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	giveBack := func(int) {}
+	if parent != nil {
+		stop := context.AfterFunc(parent.Context, cancel)
+		defer stop()
+		c.Budget, giveBack = parent.Lend()
+	}
+	if refusal := in.pressure.Admit(time.Now(), c); refusal != nil {
+		cancel()
+		giveBack(c.Budget)
+		return call.Refused(*refusal)
+	}
+	resp := in.attempts(ctx, c)
+	giveBack(resp.BudgetUnused)
+	if resp.Rest == nil {
+		cancel()
+	} else {
+		context.AfterFunc(ctx, cancel) // the deadline ends a streamed body
+	}
+	return resp
+}
+
+func idOf(c *call.Call) request.ID {
+	if c == nil {
+		return ""
+	}
+	return c.ID
+}
+
+func (in *Ingress) logRefusal(c *call.Call, r *request.Refusal, step string) {
+	if !in.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	attrs := []any{"step", step, "reason", string(r.Reason), "outcome", r.Outcome.String()}
+	if c != nil {
+		attrs = append(attrs, "request", string(c.ID), "workspace", c.Workspace, "route", c.Route)
+	}
+	in.log.Debug("request refused", attrs...)
+}
+
+// fromThisVM reports whether a request comes from the VM that the node runs on.
+func fromThisVM(r *http.Request) bool {
+	remote, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(remote)
+	if ip.IsLoopback() {
+		return true
+	}
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
+	return ok && local.IP.Equal(ip)
+}
+
+func newAttempt() string { return uuid.NewString() }
+
+// routeFor finds the route of a request and checks that the workspace may use it.
+func routeFor(c *settings.Compiled, path, workspace string) (*settings.Route, *request.Refusal) {
+	route, ok := c.MatchRoute(path)
+	if !ok {
+		return nil, refuse(request.ReasonUnknownRoute, 0)
+	}
+	if !route.Allows(workspace) {
+		return nil, refuse(request.ReasonRouteForbidden, 0)
+	}
+	return route, nil
+}
+
+func refuse(reason request.Reason, retryAfter time.Duration) *request.Refusal {
+	r := request.Refuse(reason, retryAfter)
+	return &r
+}
--- /dev/null
+++ b/internal/ingress/newcall.go
@@ -0,0 +1,171 @@
+package ingress
+
+import (
+	"encoding/hex"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/control"
+	"github.com/teaselseam/teaselseam/internal/guard"
+	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/internal/workspace"
+)
+
+// staleRetry is when a caller may try again at a node that is not fresh.
+const staleRetry = time.Second
+
+// newCall validates a request and builds its call. For a nested call it also
+// returns the running call that it belongs to.
+func (in *Ingress) newCall(r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
+	if !in.control.Fresh(now) {
+		return nil, nil, refuse(request.ReasonNodeStale, staleRetry)
+	}
+	snap := in.control.Snapshot()
+	c, refusal := newIdentity(r)
+	if refusal != nil {
+		return nil, nil, refusal
+	}
+	var parent *guard.Entry
+	if token := r.Header.Get(request.HeaderCall); token != "" {
+		parent, refusal = in.inherit(r, c, token)
+	} else {
+		refusal = authenticate(r, c, snap)
+	}
+	if refusal != nil {
+		return c, nil, refusal
+	}
+	if refusal := in.applyRoute(r, c, parent, snap, now); refusal != nil {
+		return c, nil, refusal
+	}
+	c.Header = call.WithoutOwn(r.Header)
+	c.Method = r.Method
+	c.URI = r.URL.RequestURI()
+	return c, parent, in.readBody(r, c, snap)
+}
+
+// newIdentity takes the request ID from the caller or makes one.
+func newIdentity(r *http.Request) (*call.Call, *request.Refusal) {
+	given := r.Header.Get(request.HeaderID)
+	if given == "" {
+		id := request.NewID()
+		return &call.Call{ID: id, Root: id}, nil
+	}
+	id, err := request.ParseID(given)
+	if err != nil {
+		return nil, refuse(request.ReasonBadRequest, 0)
+	}
+	return &call.Call{ID: id, Root: id}, nil
+}
+
+// inherit makes c a nested call of the running call with the token. Only the
+// backend server beside the node may present a token.
+func (in *Ingress) inherit(r *http.Request, c *call.Call, token string) (*guard.Entry, *request.Refusal) {
+	entry, ok := in.guard.Running().Lookup(token)
+	if !ok || !fromThisVM(r) {
+		return nil, refuse(request.ReasonUnknownKey, 0)
+	}
+	parent := entry.Call
+	if parent.Depth+1 > call.MaxDepth {
+		return nil, refuse(request.ReasonBadRequest, 0)
+	}
+	c.Root = parent.Root
+	c.Workspace = parent.Workspace
+	c.KeyDigest = parent.KeyDigest
+	c.Depth = parent.Depth + 1
+	if r.Header.Get(request.HeaderID) == string(parent.ID) {
+		c.ID = request.NewID() // a backend server that copies all headers must not claim its parent's ID again
+	}
+	return entry, nil
+}
+
+// authenticate finds the workspace of a root request by its key.
+func authenticate(r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
+	key := r.Header.Get(request.HeaderKey)
+	if key == "" {
+		return refuse(request.ReasonUnknownKey, 0)
+	}
+	c.KeyDigest = workspace.DigestOf(key)
+	return checkKey(c, snap)
+}
+
+func checkKey(c *call.Call, snap *control.Snapshot) *request.Refusal {
+	ws, verdict := snap.Keys.Check(c.KeyDigest)
+	switch verdict {
+	case workspace.Valid:
+		c.Workspace = ws
+		return nil
+	case workspace.Revoked:
+		return refuse(request.ReasonKeyRevoked, 0)
+	default:
+		return refuse(request.ReasonUnknownKey, 0)
+	}
+}
+
+// applyRoute fills in what the route and the headers say about the call.
+func (in *Ingress) applyRoute(r *http.Request, c *call.Call, parent *guard.Entry, snap *control.Snapshot, now time.Time) *request.Refusal {
+	route, refusal := routeFor(snap.Settings, r.URL.Path, c.Workspace)
+	if refusal != nil {
+		return refusal
+	}
+	c.Route = route.Name
+	c.Service = route.Service
+	c.Idempotent = route.Idempotent
+	if v := r.Header.Get(request.HeaderIdempotent); v != "" {
+		c.Idempotent = v == "true"
+	}
+	ceiling := snap.Settings.Workspace(c.Workspace).MaxImportance
+	wanted := route.Importance
+	if parent != nil {
+		ceiling, wanted = parent.Call.Importance, parent.Call.Importance
+	} else {
+		c.Budget = route.RetryBudget
+	}
+	if v := r.Header.Get(request.HeaderImportance); v != "" {
+		var err error
+		if wanted, err = request.ParseImportance(v); err != nil {
+			return refuse(request.ReasonBadRequest, 0)
+		}
+	}
+	c.Importance = request.Inherit(ceiling, wanted)
+	c.Deadline = now.Add(route.Timeout)
+	if v := r.Header.Get(request.HeaderTimeout); v != "" {
+		timeout, err := call.ParseTimeout(v)
+		if err != nil {
+			return refuse(request.ReasonBadRequest, 0)
+		}
+		c.Deadline = now.Add(min(timeout, route.Timeout))
+	}
+	if parent != nil && parent.Call.Deadline.Before(c.Deadline) {
+		c.Deadline = parent.Call.Deadline
+	}
+	return nil
+}
+
+func (in *Ingress) readBody(r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
+	var err error
+	c.Body, err = call.ReadBody(r.Body, snap.Settings.Service(c.Service).MaxBody)
+	if errors.Is(err, call.ErrBodyTooLarge) {
+		return refuse(request.ReasonBodyTooLarge, 0)
+	}
+	if err != nil {
+		return refuse(request.ReasonBadRequest, 0)
+	}
+	c.Fingerprint = fingerprint(c)
+	return nil
+}
+
+// fingerprint identifies the content of a request, to recognise one that
+// crashes backend servers whoever sends it.
+func fingerprint(c *call.Call) string {
+	d := xxhash.New()
+	for _, part := range []string{c.Route, c.Method, c.URI} {
+		_, _ = d.WriteString(part) // a digest never fails to write
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(c.Body)
+	return hex.EncodeToString(d.Sum(nil))
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,184 @@
+// Package node wires one node together: listeners, control, ingress and guard.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/samber/oops"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/teaselseam/teaselseam/internal/adminapi"
+	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/config"
+	"github.com/teaselseam/teaselseam/internal/control"
+	"github.com/teaselseam/teaselseam/internal/guard"
+	"github.com/teaselseam/teaselseam/internal/ingress"
+	"github.com/teaselseam/teaselseam/internal/membership"
+	"github.com/teaselseam/teaselseam/internal/obs"
+	"github.com/teaselseam/teaselseam/internal/peer"
+	"github.com/teaselseam/teaselseam/internal/peerpb"
+	"github.com/teaselseam/teaselseam/internal/platform"
+	"github.com/teaselseam/teaselseam/internal/store"
+)
+
+// Limits and timers of the listeners.
+const (
+	maxHeaderBytes    = 64 << 10
+	headerTimeout     = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	keepAliveInterval = 2 * time.Second
+	keepAliveProbes   = 3
+	// drainTimeout bounds a planned stop.
+	drainTimeout = time.Minute
+	// drainNotice is how long a stopping node still takes calls, so that the
+	// fleet learns that it is leaving before it refuses any.
+	drainNotice = time.Second
+)
+
+// Node is one running node.
+type Node struct {
+	log     *slog.Logger
+	cfg     *config.Config
+	control *control.Control
+	guard   *guard.Guard
+	ingress *ingress.Ingress
+	pool    *peer.Pool
+	servers []*server
+}
+
+// server is an HTTP server with its listener.
+type server struct {
+	*http.Server
+	listener net.Listener
+	tls      bool
+}
+
+// New opens the listeners of a node.
+func New(log *slog.Logger, cfg *config.Config, creds peer.Credentials, st platform.Store) (*Node, error) {
+	self := membership.Member{
+		ID:          cfg.Node.Name,
+		Incarnation: uuid.Must(uuid.NewV7()).String(),
+		DataCentre:  cfg.Node.DataCentre,
+		Region:      cfg.Node.Region,
+		PeerAddress: cfg.Node.PeerAddr,
+		Status:      membership.Alive,
+		Started:     time.Now(),
+	}
+	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds)}
+	log2 := store.NewLog(st)
+	n.control = control.New(log, self, log2, n.pool, cfg.Peer.Seeds)
+	backend := guard.NewBackend()
+	n.guard = guard.New(log, self.Incarnation, n.control, backend, guard.Parts{
+		Limiter:    guard.NewFixedLimiter(100),
+		Rate:       guard.Open{},
+		Claims:     guard.Open{},
+		Quarantine: guard.Open{},
+	})
+	forward := ingress.NewForwarder(log, n.pool.HTTP())
+	n.ingress = ingress.New(log, n.control, n.guard, backend, forward, ingress.NewServices(), ingress.NoPressure{})
+	return n, n.listen(creds, log2)
+}
+
+func (n *Node) listen(creds peer.Credentials, changes *store.Log) error {
+	peerMux := http.NewServeMux()
+	peerMux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(n.control))
+	peerMux.Handle(call.PathPrefix+"/", n.guard)
+	adminMux := http.NewServeMux()
+	adminMux.Handle("/metrics", obs.MetricsHandler(metrics.NewSet()))
+	adminMux.Handle("/", adminapi.New(n.log, n.cfg.Operators, n.control, changes))
+	peerServer := &http.Server{Handler: peerMux, TLSConfig: creds.Server, HTTP2: peer.ServerConfig()}
+	for _, s := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{n.cfg.Node.Ingress, &http.Server{Handler: n.ingress}},
+		{n.cfg.Node.PeerAddr, peerServer},
+		{n.cfg.Node.Admin, &http.Server{Handler: adminMux}},
+	} {
+		if err := n.open(s.address, s.server); err != nil {
+			n.closeAll()
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) open(address string, s *http.Server) error {
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+	}}
+	l, err := lc.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return oops.In("node").With("step", "listen", "address", address).Wrap(err)
+	}
+	s.ReadHeaderTimeout = headerTimeout
+	s.IdleTimeout = idleTimeout
+	s.MaxHeaderBytes = maxHeaderBytes
+	s.ErrorLog = slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)
+	n.servers = append(n.servers, &server{Server: s, listener: l, tls: s.TLSConfig != nil})
+	return nil
+}
+
+func (n *Node) closeAll() {
+	for _, s := range n.servers {
+		s.listener.Close()
+	}
+}
+
+// Run serves until ctx ends, then stops gracefully: the fleet is told, running
+// requests end, and nothing is cut off within the drain timeout.
+func (n *Node) Run(ctx context.Context) error {
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, runCtx := errgroup.WithContext(runCtx)
+	g.Go(func() error { return n.control.Run(runCtx) })
+	for _, s := range n.servers {
+		g.Go(s.serve)
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-runCtx.Done():
+		}
+		defer stop()
+		return n.shutdown()
+	})
+	n.log.Info("node started", "step", "start", "data_centre", n.cfg.Node.DataCentre, "ingress", n.cfg.Node.Ingress)
+	return g.Wait()
+}
+
+func (s *server) serve() error {
+	var err error
+	if s.tls {
+		err = s.ServeTLS(s.listener, "", "")
+	} else {
+		err = s.Serve(s.listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
+}
+
+func (n *Node) shutdown() error {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	n.log.Info("node stopping", "step", "drain")
+	n.control.SetDraining(ctx)
+	time.Sleep(drainNotice)
+	err := errors.Join(n.ingress.Drain(ctx), n.guard.Drain(ctx))
+	for _, s := range n.servers {
+		err = errors.Join(err, s.Shutdown(ctx))
+	}
+	n.pool.Close()
+	n.log.Info("node stopped", "step", "stop", "error", err)
+	return err
+}
