--- a/internal/guard/backend.go
+++ b/internal/guard/backend.go
@@ -28,6 +28,7 @@
 // Backend is the backend server beside the node, as it announced itself.
 type Backend struct {
 	current atomic.Pointer[announced]
+	events  Events
 }
 
 // announced is one instance of the backend server with its connections.
@@ -35,21 +36,27 @@
 	control.Announcement
 	received time.Time
 	client   *http.Client
+	lost     *atomic.Bool
+	died     *atomic.Bool // shared by all announcements of an instance
 }
 
 // NewBackend returns a Backend without an announcement.
-func NewBackend() *Backend { return &Backend{} }
+func NewBackend(events Events) *Backend { return &Backend{events: events} }
 
 // Announce records an announcement. A new instance or address gets new
-// connections.
+// connections, and the instance before it counts as dead.
 func (b *Backend) Announce(a control.Announcement, now time.Time) {
-	next := &announced{Announcement: a, received: now}
-	if old := b.current.Load(); old != nil && old.Address == a.Address && old.Instance == a.Instance && old.MaxConnections == a.MaxConnections {
-		next.client = old.client
+	next := &announced{Announcement: a, received: now, lost: &atomic.Bool{}}
+	old := b.current.Load()
+	if old != nil && old.Address == a.Address && old.Instance == a.Instance {
+		next.client, next.died = old.client, old.died
 	} else {
-		next.client = newBackendClient(a.MaxConnections)
+		next.client, next.died = newBackendClient(a.MaxConnections), &atomic.Bool{}
 	}
 	b.current.Store(next)
+	if old != nil && old.Instance != a.Instance {
+		b.die(old)
+	}
 }
 
 func newBackendClient(maxConnections int) *http.Client {
@@ -82,7 +89,7 @@
 // recently.
 func (b *Backend) Serves(service string) bool {
 	a := b.current.Load()
-	return a != nil && a.Service == service && time.Since(a.received) < announcementTimeout
+	return a != nil && a.Service == service && !a.lost.Load() && time.Since(a.received) < announcementTimeout
 }
 
 // do sends a call to the backend server and reads its answer.
@@ -100,6 +107,9 @@
 	setBackendHeaders(req, c, token)
 	resp, err := a.client.Do(req)
 	if err != nil {
+		if ctx.Err() == nil {
+			b.suspect(a, err)
+		}
 		return failure(ctx, trace)
 	}
 	out := &call.Response{Status: resp.StatusCode, Header: call.WithoutOwn(resp.Header)}
@@ -108,6 +118,9 @@
 		return call.Refused(request.Refuse(request.ReasonOverload, retryAfter(resp.Header))), Result{Shed: true}
 	}
 	if err := out.Fill(resp); err != nil {
+		if ctx.Err() == nil {
+			b.suspect(a, err)
+		}
 		return call.Refused(request.Unknown(request.ReasonBadAnswer)), Result{Failed: true}
 	}
 	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	log     *slog.Logger
 	cfg     *config.Config
 	control *control.Control
+	backend *guard.Backend
 	guard   *guard.Guard
 	ingress *ingress.Ingress
 	pool    *peer.Pool
@@ -75,15 +76,15 @@
 	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds)}
 	log2 := store.NewLog(st)
 	n.control = control.New(log, self, log2, n.pool, cfg.Peer.Seeds)
-	backend := guard.NewBackend()
-	n.guard = guard.New(log, self.Incarnation, n.control, backend, guard.Parts{
+	n.backend = guard.NewBackend(guard.Events{Lost: n.backendLost})
+	n.guard = guard.New(log, self.Incarnation, n.control, n.backend, guard.Parts{
 		Limiter:    guard.NewFixedLimiter(100),
 		Rate:       guard.Open{},
 		Claims:     guard.Open{},
 		Quarantine: guard.Open{},
 	})
 	forward := ingress.NewForwarder(log, n.pool.HTTP())
-	n.ingress = ingress.New(log, n.control, n.guard, backend, forward, ingress.NewServices(), ingress.NoPressure{})
+	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NoPressure{})
 	return n, n.listen(creds, log2)
 }
 
@@ -140,6 +141,7 @@
 	defer stop()
 	g, runCtx := errgroup.WithContext(runCtx)
 	g.Go(func() error { return n.control.Run(runCtx) })
+	g.Go(func() error { return n.backend.Watch(runCtx) })
 	for _, s := range n.servers {
 		g.Go(s.serve)
 	}
@@ -155,6 +157,12 @@
 	return g.Wait()
 }
 
+// backendLost tells the fleet that the node has no backend server.
+func (n *Node) backendLost() {
+	n.log.Warn("backend server lost", "step", "health")
+	n.control.Announce(context.Background(), control.Announcement{})
+}
+
 func (s *server) serve() error {
 	var err error
 	if s.tls {
