--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -33,6 +33,7 @@
 	var tried []string
 	mayHaveRun := false
 	for n := 0; ; n++ {
+		in.metrics.Attempt(n > 0)
 		resp, endpoint := in.attempt(ctx, c, svc, budget, tried)
 		tried = append(tried, endpoint)
 		if resp.Refusal == nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -17,6 +17,7 @@
 	"github.com/teaselseam/teaselseam/internal/call"
 	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/guard"
+	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/settings"
 )
@@ -45,13 +46,13 @@
 	forward  *Forwarder
 	services *Services
 	pressure Pressure
-
-	leaving atomic.Bool
+	metrics  *obs.Metrics
+	leaving  atomic.Bool
 }
 
 // New returns the ingress of a node.
-func New(log *slog.Logger, ctl Control, g *guard.Guard, b *guard.Backend, f *Forwarder, s *Services, p Pressure) *Ingress {
-	return &Ingress{log: log, control: ctl, guard: g, backend: b, forward: f, services: s, pressure: p}
+func New(log *slog.Logger, ctl Control, g *guard.Guard, b *guard.Backend, f *Forwarder, s *Services, p Pressure, m *obs.Metrics) *Ingress {
+	return &Ingress{log: log, control: ctl, guard: g, backend: b, forward: f, services: s, pressure: p, metrics: m}
 }
 
 // AnnouncePath is where the backend server beside the node announces itself.
@@ -71,17 +72,18 @@
 	started := time.Now()
 	c, parent, refusal := in.newCall(r, started)
 	if refusal != nil {
-		in.logRefusal(c, refusal, "admit")
+		in.refused(c, refusal, "admit")
 		writeRefusal(w, idOf(c), *refusal)
 		return
 	}
 	resp := in.serve(r.Context(), c, parent)
 	if resp.Refusal != nil {
-		in.logRefusal(c, resp.Refusal, "call")
+		in.refused(c, resp.Refusal, "call")
 		writeRefusal(w, c.ID, *resp.Refusal)
 		return
 	}
 	writeResponse(w, c.ID, resp)
+	in.metrics.Completed(time.Since(started))
 }
 
 // Leave asks callers to close their connections. Requests are still served.
@@ -119,7 +121,8 @@
 	return c.ID
 }
 
-func (in *Ingress) logRefusal(c *call.Call, r *request.Refusal, step string) {
+func (in *Ingress) refused(c *call.Call, r *request.Refusal, step string) {
+	in.metrics.Refused(step, r)
 	if !in.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
--- a/internal/ingress/newcall.go
+++ b/internal/ingress/newcall.go
@@ -41,6 +41,9 @@
 	if refusal := in.applyRoute(r, c, parent, snap, now); refusal != nil {
 		return c, nil, refusal
 	}
+	if _, dated := c.ID.CreatedAt(); !c.Idempotent && !dated {
+		return c, nil, refuse(request.ReasonIDNotV7, 0)
+	}
 	c.Header = call.WithoutOwn(r.Header)
 	c.Method = r.Method
 	c.URI = r.URL.RequestURI()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
@@ -52,6 +51,7 @@
 	guard   *guard.Guard
 	ingress *ingress.Ingress
 	pool    *peer.Pool
+	metrics *obs.Metrics
 	servers []*server
 }
 
@@ -73,7 +73,7 @@
 		Status:      membership.Alive,
 		Started:     time.Now(),
 	}
-	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds)}
+	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds), metrics: obs.NewMetrics()}
 	log2 := store.NewLog(st)
 	n.control = control.New(log, self, log2, n.pool, cfg.Peer.Seeds)
 	n.backend = guard.NewBackend(guard.Events{Lost: n.backendLost})
@@ -84,7 +84,7 @@
 		Quarantine: guard.Open{},
 	})
 	forward := ingress.NewForwarder(log, n.pool.HTTP())
-	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NoPressure{})
+	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NoPressure{}, n.metrics)
 	return n, n.listen(creds, log2)
 }
 
@@ -93,7 +93,7 @@
 	peerMux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(n.control))
 	peerMux.Handle(call.PathPrefix+"/", n.guard)
 	adminMux := http.NewServeMux()
-	adminMux.Handle("/metrics", obs.MetricsHandler(metrics.NewSet()))
+	adminMux.Handle("/metrics", obs.MetricsHandler(n.metrics.Set()))
 	adminMux.Handle("/", adminapi.New(n.log, n.cfg.Operators, n.control, changes))
 	peerServer := &http.Server{Handler: peerMux, TLSConfig: creds.Server, HTTP2: peer.ServerConfig()}
 	for _, s := range []struct {
--- /dev/null
+++ b/internal/obs/metrics.go
@@ -0,0 +1,79 @@
+package obs
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/teaselseam/teaselseam/internal/request"
+)
+
+// Metrics are a node's metrics. docs/operations/metrics.md lists them.
+type Metrics struct {
+	set *metrics.Set
+
+	completed *metrics.Counter
+	duration  *metrics.Summary
+	attempts  *metrics.Counter
+	retries   *metrics.Counter
+
+	mu      sync.Mutex
+	refused map[refusalKey]*metrics.Counter
+}
+
+type refusalKey struct {
+	step    string
+	reason  request.Reason
+	outcome request.Outcome
+}
+
+// NewMetrics returns a node's metrics, all zero.
+func NewMetrics() *Metrics {
+	set := metrics.NewSet()
+	return &Metrics{
+		set:       set,
+		completed: set.NewCounter("teaselseam_requests_completed_total"),
+		duration:  set.NewSummary("teaselseam_request_duration_seconds"),
+		attempts:  set.NewCounter("teaselseam_attempts_total"),
+		retries:   set.NewCounter("teaselseam_retries_total"),
+		refused:   map[refusalKey]*metrics.Counter{},
+	}
+}
+
+// Set returns the underlying set.
+func (m *Metrics) Set() *metrics.Set { return m.set }
+
+// Gauge registers a figure that is read when the metrics are served.
+func (m *Metrics) Gauge(name string, read func() float64) { m.set.NewGauge(name, read) }
+
+// Counter registers a counter.
+func (m *Metrics) Counter(name string) *metrics.Counter { return m.set.GetOrCreateCounter(name) }
+
+// Completed counts a request that got a complete answer.
+func (m *Metrics) Completed(d time.Duration) {
+	m.completed.Inc()
+	m.duration.Update(d.Seconds())
+}
+
+// Attempt counts one attempt at a guard; retry tells whether it is an extra one.
+func (m *Metrics) Attempt(retry bool) {
+	m.attempts.Inc()
+	if retry {
+		m.retries.Inc()
+	}
+}
+
+// Refused counts a refusal at the ingress or at the guard.
+func (m *Metrics) Refused(step string, r *request.Refusal) {
+	key := refusalKey{step: step, reason: r.Reason, outcome: r.Outcome}
+	m.mu.Lock()
+	c, ok := m.refused[key]
+	if !ok {
+		c = m.set.NewCounter(fmt.Sprintf(`teaselseam_refusals_total{step=%q,reason=%q,outcome=%q}`, step, r.Reason, r.Outcome))
+		m.refused[key] = c
+	}
+	m.mu.Unlock()
+	c.Inc()
+}
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -62,6 +62,7 @@
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonDuplicate        Reason = "duplicate"
 	ReasonIDTooOld         Reason = "id_too_old"
+	ReasonIDNotV7          Reason = "id_not_uuidv7"
 	ReasonClaimUnavailable Reason = "claim_unavailable"
 	ReasonBadAnswer        Reason = "bad_answer"
 	ReasonCancelled        Reason = "cancelled"
@@ -88,6 +89,7 @@
 
 var reasonStatus = map[Reason]int{
 	ReasonBadRequest:       statusBadRequest,
+	ReasonIDNotV7:          statusBadRequest,
 	ReasonBodyTooLarge:     statusRequestEntityTooLarge,
 	ReasonUnknownRoute:     statusNotFound,
 	ReasonUnknownKey:       statusUnauthorized,
