Do not retry failures of nested calls at each hop

A deep failure is seen by every hop above it. The hop next to it has retried already; each hop above would repeat the work of all hops between.

--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -24,6 +24,7 @@
 type Attempt struct {
 	Outcome    request.Outcome
 	Idempotent bool
+	Downstream bool          // a nested call failed for good; the hop next to it has retried
 	Retries    int           // extra attempts of this call so far
 	RetryAfter time.Duration // least delay asked for by the refusal; 0 if another endpoint is tried
 	Remaining  time.Duration // time left until the call's deadline
@@ -75,9 +76,10 @@
 
 // Next decides whether the failed attempt is repeated, and after which delay.
 // It takes from the ratio and the budget only if all rules agree, so that a
-// retry refused by one of them costs nothing at the other.
+// retry refused by one of them costs nothing at the other. A failure from further
+// down is not repeated: it would repeat the work of all hops between.
 func (p Policy) Next(now time.Time, a Attempt, b *Budget, rnd *rand.Rand) (time.Duration, bool) {
-	if !MayRetry(a.Outcome, a.Idempotent) || b.Left() == 0 {
+	if a.Downstream || !MayRetry(a.Outcome, a.Idempotent) || b.Left() == 0 {
 		return 0, false
 	}
 	delay, ok := p.Backoff.Delay(a, rnd)
