--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -29,11 +29,9 @@
 	Importance request.Importance
 	Idempotent bool
 	Deadline   time.Time
-	Depth      int // hops from the root; 0 for the root
-	Budget     int // retries lent to the part of the call tree below this call
-	// Guard is the incarnation of the node that the call is meant for.
-	Guard       string
-	Fingerprint string // quarantine fingerprint of the request body
+	Depth      int    // hops from the root; 0 for the root
+	Budget     int    // retries lent to the part of the call tree below this call
+	Guard      string // incarnation of the node that the call is meant for
 
 	Method string
 	URI    string // path and query
--- a/internal/call/wire.go
+++ b/internal/call/wire.go
@@ -36,23 +36,21 @@
 	h.Set(request.HeaderDepth, strconv.Itoa(c.Depth))
 	h.Set(request.HeaderBudget, strconv.Itoa(c.Budget))
 	h.Set(request.HeaderIncarnation, c.Guard)
-	h.Set(request.HeaderFingerprint, c.Fingerprint)
 }
 
 // DecodeRequest reads a call from a peer's request. The body is read up to
 // maxBody bytes.
 func DecodeRequest(r *http.Request, now time.Time, maxBody int64) (*Call, error) {
 	c := &Call{
-		Attempt:     r.Header.Get(request.HeaderAttempt),
-		Workspace:   r.Header.Get(request.HeaderWorkspace),
-		Route:       r.Header.Get(request.HeaderRoute),
-		Service:     r.Header.Get(request.HeaderService),
-		Idempotent:  r.Header.Get(request.HeaderIdempotent) == "true",
-		Guard:       r.Header.Get(request.HeaderIncarnation),
-		Fingerprint: r.Header.Get(request.HeaderFingerprint),
-		Method:      r.Method,
-		URI:         strings.TrimPrefix(r.URL.RequestURI(), PathPrefix),
-		Header:      WithoutOwn(r.Header),
+		Attempt:    r.Header.Get(request.HeaderAttempt),
+		Workspace:  r.Header.Get(request.HeaderWorkspace),
+		Route:      r.Header.Get(request.HeaderRoute),
+		Service:    r.Header.Get(request.HeaderService),
+		Idempotent: r.Header.Get(request.HeaderIdempotent) == "true",
+		Guard:      r.Header.Get(request.HeaderIncarnation),
+		Method:     r.Method,
+		URI:        strings.TrimPrefix(r.URL.RequestURI(), PathPrefix),
+		Header:     WithoutOwn(r.Header),
 	}
 	var err error
 	if c.ID, err = request.ParseID(r.Header.Get(request.HeaderID)); err != nil {
--- a/internal/claim/round.go
+++ b/internal/claim/round.go
@@ -203,6 +203,15 @@
 	return true
 }
 
+// NotRun records that a started attempt is known not to have run, for example
+// because the backend server refused the connection. The claim is held as before
+// Start, so the round may be released.
+func (r *Round) NotRun() {
+	if r.status == Started {
+		r.status = Holding
+	}
+}
+
 // Release ends a round that was not started and returns the releases to be sent.
 // If held is true, the caller may be told that the request did not run, after the
 // releases have been sent. A refused round also releases what it got, so that
--- a/internal/guard/backend.go
+++ b/internal/guard/backend.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,7 +38,7 @@
 	received time.Time
 	client   *http.Client
 	lost     *atomic.Bool
-	died     *atomic.Bool // shared by all announcements of an instance
+	died     *sync.Once // shared by all announcements of an instance
 }
 
 // NewBackend returns a Backend without an announcement.
@@ -51,7 +52,7 @@
 	if old != nil && old.Address == a.Address && old.Instance == a.Instance {
 		next.client, next.died = old.client, old.died
 	} else {
-		next.client, next.died = newBackendClient(a.MaxConnections), &atomic.Bool{}
+		next.client, next.died = newBackendClient(a.MaxConnections), &sync.Once{}
 	}
 	b.current.Store(next)
 	if old != nil && old.Instance != a.Instance {
--- a/internal/guard/fixed.go
+++ b/internal/guard/fixed.go
@@ -35,9 +35,9 @@
 func (Open) Refund(string) {}
 
 // Acquire implements Claims.
-func (Open) Acquire(context.Context, request.ID) (func(), *request.Refusal) {
-	return func() {}, nil
+func (Open) Acquire(context.Context, request.ID) (Claim, *request.Refusal) {
+	return noClaim{}, nil
 }
 
 // Start implements Quarantine.
-func (Open) Start(*call.Call) (func(), *request.Refusal) { return func() {}, nil }
+func (Open) Start(*call.Call) (func(bool), *request.Refusal) { return func(bool) {}, nil }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -58,15 +58,23 @@
 
 // Claims makes calls that may not be repeated run at most once.
 type Claims interface {
-	// Acquire claims the request ID. It returns a refusal, or a function that
-	// releases the claim of a call that was not started.
-	Acquire(ctx context.Context, id request.ID) (release func(), refusal *request.Refusal)
+	// Acquire claims the request ID or refuses.
+	Acquire(ctx context.Context, id request.ID) (Claim, *request.Refusal)
+}
+
+// Claim is the right to run one attempt of such a call.
+type Claim interface {
+	// Start reports whether the call may be sent to the backend server now.
+	Start() bool
+	// Release gives the claim back for a call that is known not to have run.
+	Release()
 }
 
 // Quarantine refuses requests that crashed backend servers.
 type Quarantine interface {
-	// Start refuses a quarantined call or records it as running until done is called.
-	Start(c *call.Call) (done func(), refusal *request.Refusal)
+	// Start refuses a quarantined call or records it as running until finish is
+	// called; completed means that the backend server sent a whole response.
+	Start(c *call.Call) (finish func(completed bool), refusal *request.Refusal)
 }
 
 // Guard serves the calls meant for the backend server beside the node.
@@ -203,35 +211,48 @@
 	if refusal := g.check(c); refusal != nil {
 		return unused(c, *refusal), notSent
 	}
-	done, refusal := g.parts.Quarantine.Start(c)
+	claim, refusal := g.claim(ctx, c)
 	if refusal != nil {
 		return unused(c, *refusal), notSent
 	}
-	defer done()
-	releaseClaim, refusal := g.claim(ctx, c)
-	if refusal != nil {
+	if refusal := g.takeToken(ctx, c); refusal != nil {
+		claim.Release()
 		return unused(c, *refusal), notSent
 	}
-	if refusal := g.takeToken(ctx, c); refusal != nil {
-		releaseClaim()
+	finish, refusal := g.parts.Quarantine.Start(c)
+	if refusal != nil {
+		claim.Release()
+		g.refundToken(c)
 		return unused(c, *refusal), notSent
 	}
+	if !claim.Start() {
+		finish(false)
+		return unused(c, request.Unknown(request.ReasonClaimUnavailable)), notSent
+	}
 	resp, result := g.send(ctx, c)
 	result.Started = started
+	finish(resp.Refusal == nil)
 	if resp.Refusal != nil && resp.Refusal.Outcome == request.NotRun {
-		releaseClaim()
+		claim.Release()
 		g.refundToken(c)
 	}
 	return resp, result
 }
 
-func (g *Guard) claim(ctx context.Context, c *call.Call) (func(), *request.Refusal) {
+func (g *Guard) claim(ctx context.Context, c *call.Call) (Claim, *request.Refusal) {
 	if c.Idempotent {
-		return func() {}, nil
+		return noClaim{}, nil
 	}
 	return g.parts.Claims.Acquire(ctx, c.ID)
 }
 
+// noClaim is the claim of an idempotent call.
+type noClaim struct{}
+
+func (noClaim) Start() bool { return true }
+
+func (noClaim) Release() {}
+
 // takeToken charges a root call to its workspace. Nested calls are part of
 // their root and are not charged again.
 func (g *Guard) takeToken(ctx context.Context, c *call.Call) *request.Refusal {
--- a/internal/guard/health.go
+++ b/internal/guard/health.go
@@ -13,6 +13,10 @@
 	healthInterval = 500 * time.Millisecond
 	// confirmTimeout bounds the connection attempt that confirms a loss.
 	confirmTimeout = 300 * time.Millisecond
+	// A process that ends closes its connections and its listener one after the
+	// other, so the first attempt may still be accepted.
+	confirmTries = 3
+	confirmPause = 10 * time.Millisecond
 )
 
 // Events are told by a Backend. The functions must not block for long.
@@ -21,7 +25,7 @@
 	// refuses connections.
 	Lost func()
 	// Died is called once for each instance that refuses connections or was
-	// replaced, with the time of the last failure that was noticed.
+	// replaced.
 	Died func(instance string)
 }
 
@@ -51,19 +55,30 @@
 	}
 }
 
-// die records the death of an instance.
+// die records the death of an instance. All callers return after it was
+// recorded, so that no call that failed with the instance is forgotten before.
 func (b *Backend) die(a *announced) {
 	b.lose(a)
-	if a.died.CompareAndSwap(false, true) && b.events.Died != nil {
-		b.events.Died(a.Instance)
-	}
+	a.died.Do(func() {
+		if b.events.Died != nil {
+			b.events.Died(a.Instance)
+		}
+	})
 }
 
 // suspect follows a failed call: if the backend server refuses a connection
 // too, its process has ended.
 func (b *Backend) suspect(a *announced, err error) {
-	if errors.Is(err, syscall.ECONNREFUSED) || refusesConnections(a.Address) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
 		b.die(a)
+		return
+	}
+	for range confirmTries {
+		if refusesConnections(a.Address) {
+			b.die(a)
+			return
+		}
+		time.Sleep(confirmPause)
 	}
 }
 
--- a/internal/ingress/newcall.go
+++ b/internal/ingress/newcall.go
@@ -1,13 +1,10 @@
 package ingress
 
 import (
-	"encoding/hex"
 	"errors"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/teaselseam/teaselseam/internal/call"
 	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/guard"
@@ -157,18 +154,5 @@
 	if err != nil {
 		return refuse(request.ReasonBadRequest, 0)
 	}
-	c.Fingerprint = fingerprint(c)
 	return nil
 }
-
-// fingerprint identifies the content of a request, to recognise one that
-// crashes backend servers whoever sends it.
-func fingerprint(c *call.Call) string {
-	d := xxhash.New()
-	for _, part := range []string{c.Route, c.Method, c.URI} {
-		_, _ = d.WriteString(part) // a digest never fails to write
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(c.Body)
-	return hex.EncodeToString(d.Sum(nil))
-}
--- a/internal/request/headers.go
+++ b/internal/request/headers.go
@@ -27,7 +27,6 @@
 	HeaderHints       = "Teaselseam-Hints"       // load hints of services behind the answer
 	HeaderDraining    = "Teaselseam-Draining"    // "true" on answers of a guard that is leaving
 	HeaderRetryMs     = "Teaselseam-Retry-Ms"    // on refusals between nodes: Retry-After in ms
-	HeaderFingerprint = "Teaselseam-Fingerprint" // quarantine fingerprint
 )
 
 // Prefix is the common prefix of all headers of this package.
--- a/internal/samplebackend/samplebackend.go
+++ b/internal/samplebackend/samplebackend.go
@@ -42,6 +42,8 @@
 	HeaderSleep = "X-Sample-Sleep-Ms" // extra time in the call
 	HeaderCrash = "X-Sample-Crash"    // "true" ends the process
 	HeaderNext  = "X-Sample-Next"     // path of a nested call; its body becomes the body
+	HeaderDump  = "X-Sample-Dump"     // "true" answers with the received headers as JSON
+	HeaderFail  = "X-Sample-Fail"     // "true" answers 503 with the outcome not_run
 )
 
 const (
@@ -62,6 +64,7 @@
 	running  atomic.Int64
 	queued   atomic.Int64
 	draining atomic.Bool
+	total    atomic.Int64 // calls run since the start
 
 	mu sync.Mutex
 	// runs counts how often each request ID was run.
@@ -90,6 +93,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /sample/runs", s.serveRuns)
+	mux.HandleFunc("GET /sample/total", func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, s.total.Load())
+	})
 	mux.HandleFunc("POST /sample/drain", func(w http.ResponseWriter, _ *http.Request) {
 		s.draining.Store(true)
 		w.WriteHeader(http.StatusNoContent)
@@ -172,6 +178,7 @@
 	defer func() { <-s.slots }()
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	s.total.Add(1)
 	s.countRun(r.Header.Get(request.HeaderID))
 	if r.Header.Get(HeaderCrash) == "true" {
 		os.Exit(crashStatus)
@@ -183,6 +190,15 @@
 	if !s.work(r) {
 		return
 	}
+	if r.Header.Get(HeaderDump) == "true" {
+		_ = json.NewEncoder(w).Encode(r.Header) // the client sees a short body
+		return
+	}
+	if r.Header.Get(HeaderFail) == "true" {
+		w.Header().Set(request.HeaderOutcome, request.NotRun.String())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if next := r.Header.Get(HeaderNext); next != "" {
 		s.callOn(w, r, next, body)
 		return
@@ -216,6 +232,9 @@
 		return
 	}
 	req.Header.Set(request.HeaderCall, r.Header.Get(request.HeaderCall))
+	for _, name := range []string{HeaderSleep, HeaderDump, HeaderFail} {
+		req.Header.Set(name, r.Header.Get("Next-"+name))
+	}
 	resp, err := s.client.Do(req)
 	if err != nil {
 		http.Error(w, "nested call failed", http.StatusBadGateway)
