--- /dev/null
+++ b/internal/admission/bench_test.go
@@ -0,0 +1,117 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/request"
+)
+
+// loaded returns a controller at its limit whose queue is full, with calls of
+// every workspace waiting, and the running tickets.
+func loaded(b *testing.B, workspaces int) (*Controller, []Arrival, []*Ticket) {
+	b.Helper()
+	cfg := fixedConfig(35)
+	cfg.Rand = rand.New(rand.NewPCG(1, 1))
+	c := New(cfg, epoch)
+	arrivals := make([]Arrival, workspaces)
+	for i := range arrivals {
+		arrivals[i] = Arrival{
+			Workspace: fmt.Sprintf("workspace %d", i), Weight: 1,
+			Importance: request.Importance(i % 2), Deadline: at(time.Hour),
+		}
+	}
+	var running []*Ticket
+	for i := range 2000 {
+		if t, d := c.Arrive(at(time.Duration(i)*100*time.Microsecond), arrivals[i%workspaces]); d.Verdict == Run {
+			running = append(running, t)
+		}
+	}
+	return c, arrivals, running
+}
+
+// BenchmarkRun is a call that finds room, from arrival to finish.
+func BenchmarkRun(b *testing.B) {
+	c := New(fixedConfig(35), epoch)
+	a := Arrival{Workspace: "a", Weight: 1, Importance: request.Normal, Deadline: at(time.Hour)}
+	now := epoch
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		t, _ := c.Arrive(now, a)
+		c.Finish(now, t, Served)
+	}
+}
+
+// BenchmarkWaitAndRun is one step under overload: a call finishes, a waiting
+// one starts, and a new one joins the queue.
+func BenchmarkWaitAndRun(b *testing.B) {
+	for _, workspaces := range []int{8, 100} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			c, arrivals, running := loaded(b, workspaces)
+			now := at(time.Second)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(300 * time.Microsecond)
+				n := i % len(running)
+				if started := c.Finish(now, running[n], Served); len(started) > 0 {
+					running[n] = started[0]
+				}
+				if t, d := c.Arrive(now, arrivals[i%workspaces]); d.Verdict == Run {
+					running[n] = t
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkRefuse is a call that is refused because the queue is full.
+func BenchmarkRefuse(b *testing.B) {
+	for _, workspaces := range []int{8, 100} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			c, arrivals, _ := loaded(b, workspaces)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, d := c.Arrive(at(time.Second), arrivals[0]); d.Verdict != Refuse {
+					b.Fatal("not refused")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkEvict is a call that takes the place of a less important one.
+func BenchmarkEvict(b *testing.B) {
+	for _, workspaces := range []int{8, 100} {
+		b.Run(fmt.Sprintf("workspaces=%d", workspaces), func(b *testing.B) {
+			c, arrivals, _ := loaded(b, workspaces)
+			evicted := 0
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				a := arrivals[i%workspaces]
+				a.Importance = request.Importance(2 + i%2)
+				t, d := c.Arrive(at(time.Second), a)
+				if d.Evicted != nil {
+					evicted++
+				}
+				if d.Verdict == Wait { // make room for the next one
+					c.Cancel(at(time.Second), t)
+					a.Importance = request.Sheddable
+					c.Arrive(at(time.Second), a)
+				}
+			}
+			b.ReportMetric(float64(evicted)/float64(b.N), "evictions/op")
+		})
+	}
+}
+
+// BenchmarkTick scans a full queue.
+func BenchmarkTick(b *testing.B) {
+	c, _, _ := loaded(b, 8)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Tick(at(200 * time.Millisecond))
+	}
+}
