--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -34,6 +34,7 @@
 	Started        time.Time `json:"started"`
 	Draining       bool      `json:"draining"`
 	MaxConnections int       `json:"max_connections"`
+	Slots          int       `json:"slots"`   // calls that it says it can run at the same time; 0 means unknown
 	Running        int       `json:"running"` // calls it says it runs; may lag or mislead
 	Queued         int       `json:"queued"`  // calls it says it holds; may lag or mislead
 }
--- a/internal/guard/backend.go
+++ b/internal/guard/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -58,6 +59,9 @@
 	if old != nil && old.Instance != a.Instance {
 		b.die(old)
 	}
+	if b.events.Announced != nil {
+		b.events.Announced(a, old == nil || old.Instance != a.Instance)
+	}
 }
 
 func newBackendClient(maxConnections int) *http.Client {
@@ -146,21 +150,25 @@
 }
 
 // failure classifies a call without an answer. It did not run if no connection
-// was made or nothing of the request was written.
+// was handed out for it.
 func failure(ctx context.Context, trace *sendTrace) (*call.Response, Result) {
-	if !trace.written() {
-		if ctx.Err() != nil {
-			return call.Refused(request.Refuse(request.ReasonDeadline, 0)), Result{NotSent: true}
-		}
-		return call.Refused(request.Refuse(request.ReasonBackendLost, time.Second)), Result{NotSent: true, Failed: true}
+	gaveUp := ctx.Err() != nil
+	reason := request.ReasonBackendLost
+	if gaveUp {
+		reason = reasonOf(ctx)
 	}
-	if context.Cause(ctx) == context.DeadlineExceeded {
-		return call.Refused(request.Unknown(request.ReasonDeadline)), Result{Failed: true}
+	if !trace.written() {
+		return call.Refused(request.Refuse(reason, 0)), Result{NotSent: true, Failed: !gaveUp}
 	}
-	if ctx.Err() != nil {
-		return call.Refused(request.Unknown(request.ReasonCancelled)), Result{}
+	return call.Refused(request.Unknown(reason)), Result{TimedOut: gaveUp, Failed: !gaveUp}
+}
+
+// reasonOf tells why a call's context ended.
+func reasonOf(ctx context.Context) request.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return request.ReasonDeadline
 	}
-	return call.Refused(request.Unknown(request.ReasonBackendLost)), Result{Failed: true}
+	return request.ReasonCancelled
 }
 
 func retryAfter(h http.Header) time.Duration {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -44,6 +44,9 @@
 	Shed bool
 	// Failed means that there was no complete answer.
 	Failed bool
+	// TimedOut means that the deadline passed or the caller went away while the
+	// call ran.
+	TimedOut bool
 	// NotSent means that the call ended before it reached the backend server.
 	NotSent bool
 }
--- a/internal/guard/health.go
+++ b/internal/guard/health.go
@@ -6,6 +6,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/teaselseam/teaselseam/internal/control"
 )
 
 // Timers of the check on the backend server.
@@ -21,6 +23,8 @@
 
 // Events are told by a Backend. The functions must not block for long.
 type Events struct {
+	// Announced is called for each announcement; fresh means a new instance.
+	Announced func(a control.Announcement, fresh bool)
 	// Lost is called when the backend server stopped announcing itself or
 	// refuses connections.
 	Lost func()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/teaselseam/teaselseam/internal/adminapi"
+	"github.com/teaselseam/teaselseam/internal/admission"
 	"github.com/teaselseam/teaselseam/internal/call"
 	"github.com/teaselseam/teaselseam/internal/config"
 	"github.com/teaselseam/teaselseam/internal/control"
@@ -49,6 +50,7 @@
 	control *control.Control
 	backend *guard.Backend
 	guard   *guard.Guard
+	limiter *guard.AdmissionLimiter
 	ingress *ingress.Ingress
 	pool    *peer.Pool
 	metrics *obs.Metrics
@@ -76,9 +78,10 @@
 	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds), metrics: obs.NewMetrics()}
 	log2 := store.NewLog(st)
 	n.control = control.New(log, self, log2, n.pool, cfg.Peer.Seeds)
-	n.backend = guard.NewBackend(guard.Events{Lost: n.backendLost})
+	n.backend = guard.NewBackend(guard.Events{Announced: n.backendAnnounced, Lost: n.backendLost})
+	n.limiter = guard.NewAdmissionLimiter(n.weight, func(admission.Load) call.Load { return call.Load{} })
 	n.guard = guard.New(log, self.Incarnation, n.control, n.backend, guard.Parts{
-		Limiter:    guard.NewFixedLimiter(100),
+		Limiter:    n.limiter,
 		Rate:       guard.Open{},
 		Claims:     guard.Open{},
 		Quarantine: guard.Open{},
@@ -142,6 +145,7 @@
 	g, runCtx := errgroup.WithContext(runCtx)
 	g.Go(func() error { return n.control.Run(runCtx) })
 	g.Go(func() error { return n.backend.Watch(runCtx) })
+	g.Go(func() error { return n.limiter.Run(runCtx) })
 	for _, s := range n.servers {
 		g.Go(s.serve)
 	}
@@ -157,6 +161,23 @@
 	return g.Wait()
 }
 
+// weight returns the weight of a workspace in the settings tree.
+func (n *Node) weight(workspace string) float64 {
+	if s := n.control.Snapshot().Settings; s != nil {
+		return s.Workspace(workspace).Weight
+	}
+	return 1
+}
+
+// backendAnnounced passes on what a backend server says about its load.
+func (n *Node) backendAnnounced(a control.Announcement, fresh bool) {
+	if fresh {
+		n.log.Info("backend server announced", "step", "announce", "service", a.Service, "address", a.Address, "instance", a.Instance)
+		n.limiter.Restart()
+	}
+	n.limiter.Report(a)
+}
+
 // backendLost tells the fleet that the node has no backend server.
 func (n *Node) backendLost() {
 	n.log.Warn("backend server lost", "step", "health")
--- a/internal/samplebackend/samplebackend.go
+++ b/internal/samplebackend/samplebackend.go
@@ -141,6 +141,7 @@
 		Started:        s.started,
 		Draining:       s.draining.Load(),
 		MaxConnections: s.cfg.Connections,
+		Slots:          s.cfg.Slots,
 		Running:        int(s.running.Load()),
 		Queued:         int(s.queued.Load()),
 	})
