Bound the time for reading a request body and writing a response; refuse dot segments

A caller that goes silent no longer holds a request beyond its deadline. A path with dot segments could be resolved by the backend server to another route's path.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -70,7 +70,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	started := time.Now()
-	c, parent, refusal := in.newCall(r, started)
+	c, parent, refusal := in.newCall(w, r, started)
+	bound(w, c, started)
 	if refusal != nil {
 		in.refused(c, refusal, "admit")
 		writeRefusal(w, idOf(c), *refusal)
@@ -86,6 +87,20 @@
 	in.metrics.Completed(time.Since(started))
 }
 
+// writeGrace is how long after the deadline a response may still be written. It
+// ends the connection of a caller that went silent.
+const writeGrace = 5 * time.Second
+
+// bound limits the time in which the response is written to the caller.
+func bound(w http.ResponseWriter, c *call.Call, started time.Time) {
+	deadline := started
+	if c != nil && c.Deadline.After(started) {
+		deadline = c.Deadline
+	}
+	// A connection without deadlines, as in tests, is used without a bound.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
+}
+
 // Leave asks callers to close their connections. Requests are still served.
 func (in *Ingress) Leave() { in.leaving.Store(true) }
 
--- a/internal/ingress/newcall.go
+++ b/internal/ingress/newcall.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/call"
@@ -17,7 +18,7 @@
 
 // newCall validates a request and builds its call. For a nested call it also
 // returns the running call that it belongs to.
-func (in *Ingress) newCall(r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
+func (in *Ingress) newCall(w http.ResponseWriter, r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
 	if !in.control.Fresh(now) {
 		return nil, nil, refuse(request.ReasonNodeStale, staleRetry)
 	}
@@ -26,6 +27,9 @@
 	if refusal != nil {
 		return nil, nil, refusal
 	}
+	if hasDotSegment(r.URL.Path) {
+		return c, nil, refuse(request.ReasonBadRequest, 0)
+	}
 	var parent *guard.Entry
 	if token := r.Header.Get(request.HeaderCall); token != "" {
 		parent, refusal = in.inherit(r, c, token)
@@ -44,7 +48,18 @@
 	c.Header = call.WithoutOwn(r.Header)
 	c.Method = r.Method
 	c.URI = r.URL.RequestURI()
-	return c, parent, in.readBody(r, c, snap)
+	return c, parent, in.readBody(w, r, c, snap)
+}
+
+// hasDotSegment reports a path that a backend server could resolve to another
+// path than the one that the route was chosen by.
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
 }
 
 // newIdentity takes the request ID from the caller or makes one.
@@ -145,7 +160,13 @@
 	return nil
 }
 
-func (in *Ingress) readBody(r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
+// readBody reads the body until the deadline, so that a caller that sends it
+// slowly or goes silent does not hold the request for longer.
+func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
+	connection := http.NewResponseController(w)
+	// A connection without deadlines, as in tests, is read without a bound.
+	_ = connection.SetReadDeadline(c.Deadline)
+	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
 	var err error
 	c.Body, err = call.ReadBody(r.Body, snap.Settings.Service(c.Service).MaxBody)
 	if errors.Is(err, call.ErrBodyTooLarge) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -36,6 +37,9 @@
 	idleTimeout       = 2 * time.Minute
 	keepAliveInterval = 2 * time.Second
 	keepAliveProbes   = 3
+	// longestWrite exceeds the longest timeout of a route. The ingress sets a
+	// shorter bound for each request; this one makes the server renew it.
+	longestWrite = 11 * time.Minute
 	// drainTimeout bounds a planned stop.
 	drainTimeout = time.Minute
 	// drainNotice is how long a stopping node still serves everything, so that
@@ -92,18 +96,24 @@
 }
 
 func (n *Node) listen(creds peer.Credentials, changes *store.Log) error {
-	peerMux := http.NewServeMux()
-	peerMux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(n.control))
-	peerMux.Handle(call.PathPrefix+"/", n.guard)
+	control := peerpb.NewPeerServer(n.control)
+	// No http.ServeMux: it would redirect calls whose path has "//".
+	peerHandler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, call.PathPrefix+"/") {
+			n.guard.ServeHTTP(w, r)
+			return
+		}
+		control.ServeHTTP(w, r)
+	})
 	adminMux := http.NewServeMux()
 	adminMux.Handle("/metrics", obs.MetricsHandler(n.metrics.Set()))
 	adminMux.Handle("/", adminapi.New(n.log, n.cfg.Operators, n.control, changes))
-	peerServer := &http.Server{Handler: peerMux, TLSConfig: creds.Server, HTTP2: peer.ServerConfig()}
+	peerServer := &http.Server{Handler: peerHandler, TLSConfig: creds.Server, HTTP2: peer.ServerConfig()}
 	for _, s := range []struct {
 		address string
 		server  *http.Server
 	}{
-		{n.cfg.Node.Ingress, &http.Server{Handler: n.ingress}},
+		{n.cfg.Node.Ingress, &http.Server{Handler: n.ingress, WriteTimeout: longestWrite}},
 		{n.cfg.Node.PeerAddr, peerServer},
 		{n.cfg.Node.Admin, &http.Server{Handler: adminMux}},
 	} {
