Compare key digests in constant time

Check compared a digest with itself, which always succeeds. Keys are now found by the first 8 bytes of the digest, and the stored digest is compared in constant time. A digest that was revoked or issued before cannot be issued again.

--- a/internal/workspace/keys.go
+++ b/internal/workspace/keys.go
@@ -4,6 +4,7 @@
 package workspace
 
 import (
+	"bytes"
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -11,6 +12,8 @@
 	"encoding/hex"
 	"fmt"
 	"maps"
+	"slices"
+	"strings"
 )
 
 // keyBytes is the entropy of a generated key.
@@ -60,58 +63,155 @@
 // Keys are all issued and revoked digests. Treat it as immutable; Issue and
 // Revoke return changed copies.
 type Keys struct {
-	issued  map[Digest]string
-	revoked map[Digest]struct{}
+	buckets map[prefix][]record
+}
+
+// prefix is the start of a digest, by which records are found. The timing of a
+// lookup may tell whether a prefix exists; the rest of the digest is compared
+// in constant time.
+type prefix [prefixBytes]byte
+
+const prefixBytes = 8
+
+func prefixOf(d Digest) prefix { return prefix(d[:prefixBytes]) }
+
+// record is what is known about one digest.
+type record struct {
+	digest    Digest
+	workspace string
+	issued    bool
+	revoked   bool
 }
 
 // NewKeys returns an empty set.
 func NewKeys() *Keys {
-	return &Keys{issued: map[Digest]string{}, revoked: map[Digest]struct{}{}}
+	return &Keys{buckets: map[prefix][]record{}}
+}
+
+// find returns the record of a digest. It compares the whole stored digest of
+// every record in the bucket in constant time.
+func (k *Keys) find(d Digest) (r record, ok bool) {
+	bucket := k.buckets[prefixOf(d)]
+	found := -1
+	for i := range bucket {
+		equal := subtle.ConstantTimeCompare(bucket[i].digest[:], d[:])
+		found = subtle.ConstantTimeSelect(equal, i, found)
+	}
+	if found < 0 {
+		return record{}, false
+	}
+	return bucket[found], true
 }
 
-// Check returns the workspace of a digest. The lookup is by digest, so its
-// timing tells nothing about the key; the final comparison takes constant time.
+// put stores a record in a bucket of its own copy.
+func (k *Keys) put(r record) {
+	p := prefixOf(r.digest)
+	bucket := slices.DeleteFunc(slices.Clone(k.buckets[p]), func(old record) bool { return old.digest == r.digest })
+	k.buckets[p] = append(bucket, r)
+}
+
+// Check returns the workspace of a digest.
 func (k *Keys) Check(d Digest) (workspace string, v Verdict) {
-	if _, ok := k.revoked[d]; ok {
+	r, ok := k.find(d)
+	switch {
+	case ok && r.revoked:
 		return "", Revoked
-	}
-	workspace, ok := k.issued[d]
-	if !ok || subtle.ConstantTimeCompare(d[:], d[:]) != 1 {
+	case ok && r.issued:
+		return r.workspace, Valid
+	default:
 		return "", Unknown
 	}
-	return workspace, Valid
 }
 
-// Issue returns a copy with one more valid digest.
+// Issue returns a copy with one more valid digest. A digest that was issued or
+// revoked before keeps its workspace or stays revoked.
 func (k *Keys) Issue(d Digest, workspace string) *Keys {
-	c := &Keys{issued: maps.Clone(k.issued), revoked: k.revoked}
-	c.issued[d] = workspace
+	r, _ := k.find(d)
+	if r.issued {
+		return k
+	}
+	r.digest, r.workspace, r.issued = d, workspace, true
+	c := &Keys{buckets: maps.Clone(k.buckets)}
+	c.put(r)
 	return c
 }
 
 // Revoke returns a copy in which the digests are revoked for good.
 func (k *Keys) Revoke(digests ...Digest) *Keys {
-	c := &Keys{issued: k.issued, revoked: maps.Clone(k.revoked)}
+	c := k
 	for _, d := range digests {
-		c.revoked[d] = struct{}{}
+		r, _ := k.find(d)
+		if r.revoked {
+			continue
+		}
+		if c == k {
+			c = &Keys{buckets: maps.Clone(k.buckets)}
+		}
+		r.digest, r.revoked = d, true
+		c.put(r)
 	}
 	return c
 }
 
 // Issued returns the workspace of each issued digest, revoked ones included.
-func (k *Keys) Issued() map[Digest]string { return maps.Clone(k.issued) }
+func (k *Keys) Issued() map[Digest]string {
+	out := map[Digest]string{}
+	for _, bucket := range k.buckets {
+		for _, r := range bucket {
+			if r.issued {
+				out[r.digest] = r.workspace
+			}
+		}
+	}
+	return out
+}
 
 // Revoked reports whether a digest is revoked.
 func (k *Keys) Revoked(d Digest) bool {
-	_, ok := k.revoked[d]
-	return ok
+	r, _ := k.find(d)
+	return r.revoked
 }
 
-// RevokedDigests returns all revoked digests.
+// RevokedDigests returns all revoked digests in ascending order.
 func (k *Keys) RevokedDigests() []Digest {
-	out := make([]Digest, 0, len(k.revoked))
-	for d := range k.revoked {
-		out = append(out, d)
+	var out []Digest
+	for _, bucket := range k.buckets {
+		for _, r := range bucket {
+			if r.revoked {
+				out = append(out, r.digest)
+			}
+		}
 	}
+	slices.SortFunc(out, func(a, b Digest) int { return bytes.Compare(a[:], b[:]) })
 	return out
 }
+
+// Resolve returns the known digest that starts with some hex digits, at least
+// minPrefixDigits of them, so that operators need not type a whole digest.
+func (k *Keys) Resolve(hexPrefix string) (Digest, error) {
+	hexPrefix = strings.ToLower(hexPrefix)
+	var d Digest
+	if len(hexPrefix) == hex.EncodedLen(len(d)) {
+		return d, d.UnmarshalText([]byte(hexPrefix))
+	}
+	if len(hexPrefix) < minPrefixDigits {
+		return d, fmt.Errorf("digest prefix has %d digits, want at least %d", len(hexPrefix), minPrefixDigits)
+	}
+	matches := 0
+	for _, bucket := range k.buckets {
+		for _, r := range bucket {
+			if strings.HasPrefix(r.digest.String(), hexPrefix) {
+				d = r.digest
+				matches++
+			}
+		}
+	}
+	if matches != 1 {
+		return Digest{}, fmt.Errorf("digest prefix matches %d keys, want exactly one", matches)
+	}
+	return d, nil
+}
+
+// minPrefixDigits keeps an accidental match on a wrong key unlikely: among
+// 10,000 keys, a mistyped prefix of 8 hex digits matches one in about 400,000.
+const minPrefixDigits = 8
