Describe settings by a schema and refuse every malformed tree

Duplicate sections and keys are refused: ini.v1 merged them silently. The first problem is chosen in file order, or in branch order for a tree that is not a file, instead of map order.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/request"
+)
+
+// maxPathLength bounds a route's path, in bytes.
+const maxPathLength = 1024
+
+// check returns why a value does not have the type and bounds of a setting.
+func (s *Setting) check(value string) error {
+	switch s.Type {
+	case TypeNumber:
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return errors.New("not a number")
+		}
+		return s.inBounds(v >= s.Min && v <= s.Max)
+	case TypeInteger:
+		v, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			return errors.New("not a whole number")
+		}
+		return s.inBounds(v >= int64(s.Min) && v <= int64(s.Max))
+	case TypeDuration:
+		v, err := time.ParseDuration(value)
+		if err != nil {
+			return errors.New("not a duration such as 200ms or 5s")
+		}
+		return s.inBounds(v >= seconds(s.Min) && v <= seconds(s.Max))
+	case TypeBoolean:
+		if value != "true" && value != "false" {
+			return errors.New("not true or false")
+		}
+	case TypeImportance:
+		_, err := request.ParseImportance(value)
+		return err
+	case TypePath:
+		return checkPath(value)
+	case TypeName:
+		if !validName(value) {
+			return errors.New("not a valid name")
+		}
+	case TypeNames:
+		return checkNames(value)
+	}
+	return nil
+}
+
+func (s *Setting) inBounds(ok bool) error {
+	if !ok {
+		return fmt.Errorf("out of bounds %s", s.Bounds())
+	}
+	return nil
+}
+
+func checkPath(s string) error {
+	switch {
+	case !strings.HasPrefix(s, "/"):
+		return errors.New("path does not start with /")
+	case len(s) > maxPathLength:
+		return fmt.Errorf("path is longer than %d bytes", maxPathLength)
+	case strings.Contains(s, "//"):
+		return errors.New("path has an empty segment")
+	}
+	for _, c := range s {
+		if !isNameChar(c) && !strings.ContainsRune("~:@%+,!$&*()", c) {
+			return fmt.Errorf("path contains %q", c)
+		}
+	}
+	for _, segment := range strings.Split(s, "/") {
+		if segment == "." || segment == ".." {
+			return errors.New("path has a . or .. segment")
+		}
+	}
+	return nil
+}
+
+// checkNames checks a list of workspace names.
+func checkNames(s string) error {
+	if s == "*" {
+		return nil
+	}
+	seen := map[string]bool{}
+	for _, name := range strings.Split(s, ",") {
+		name = strings.TrimSpace(name)
+		switch {
+		case name == "":
+			return errors.New("list has an empty name")
+		case name == "*":
+			return errors.New("* stands beside other names")
+		case !validName(name):
+			return fmt.Errorf("list has the invalid name %q", name)
+		case seen[name]:
+			return fmt.Errorf("list has the name %q twice", name)
+		}
+		seen[name] = true
+	}
+	return nil
+}
--- a/internal/settings/compiled.go
+++ b/internal/settings/compiled.go
@@ -56,7 +56,11 @@
 
 // Compile resolves a valid tree.
 func Compile(t *Tree) *Compiled {
-	c := &Compiled{tree: t, workspaces: map[string]*Workspace{}, services: map[string]*Service{}}
+	c := &Compiled{
+		tree:       t,
+		workspaces: map[string]*Workspace{"": t.workspace("")},
+		services:   map[string]*Service{"": t.service("")},
+	}
 	for b := range t.branches {
 		switch b.Kind {
 		case KindWorkspace:
@@ -64,9 +68,11 @@
 		case KindService:
 			c.services[b.Name] = t.service(b.Name)
 		case KindRoute:
-			if r := t.route(b.Name); r.Path != "" && r.Service != "" {
-				c.routes = append(c.routes, r)
+			r := t.route(b.Name)
+			if r.Path == "" || r.Service == "" {
+				continue // not valid; a tree is validated before it is compiled
 			}
+			c.routes = append(c.routes, r)
 		}
 	}
 	sort.Slice(c.routes, func(i, j int) bool {
@@ -93,21 +99,43 @@
 	return nil, false
 }
 
-// Workspace returns the settings of a workspace; one without a branch of its
-// own has the defaults.
+// Workspace returns the settings of a workspace. One without a branch of its
+// own has those of the nearest branch above it. The method is small enough to be
+// inlined, so the result is on the caller's stack unless the caller keeps it.
 func (c *Compiled) Workspace(name string) *Workspace {
-	if w, ok := c.workspaces[name]; ok {
-		return w
-	}
-	return c.tree.workspace(name)
+	w := c.workspace(name)
+	return &w
+}
+
+//go:noinline
+func (c *Compiled) workspace(name string) Workspace {
+	w := *nearest(c.workspaces, name)
+	w.Name = name
+	return w
 }
 
 // Service returns the settings of a service, likewise.
 func (c *Compiled) Service(name string) *Service {
-	if s, ok := c.services[name]; ok {
-		return s
+	s := c.service(name)
+	return &s
+}
+
+//go:noinline
+func (c *Compiled) service(name string) Service {
+	s := *nearest(c.services, name)
+	s.Name = name
+	return s
+}
+
+// nearest returns the entry of a name, or else of its closest ancestor. The
+// entry under the empty name stands for the defaults.
+func nearest[T any](entries map[string]*T, name string) *T {
+	for {
+		if e, ok := entries[name]; ok {
+			return e
+		}
+		name = name[:max(strings.LastIndexByte(name, '/'), 0)]
 	}
-	return c.tree.service(name)
 }
 
 func (t *Tree) workspace(name string) *Workspace {
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -1,46 +1,110 @@
 package settings
 
 import (
-	"gopkg.in/ini.v1"
+	"cmp"
+	"maps"
+	"slices"
 )
 
 // Parse reads and validates a whole tree in INI form. The file name is used in
-// errors only. The first invalid setting is returned as *Problem.
+// errors only. The first invalid setting in the order of the file is returned
+// as *Problem; problems between branches come after those.
 func Parse(file string, data []byte) (*Tree, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", SpaceBeforeInlineComment: true}, data)
+	branches, err := ParseBranches(file, data)
 	if err != nil {
-		return nil, &Problem{File: file, Reason: err.Error()}
+		return nil, err
 	}
-	t := NewTree()
-	for _, section := range f.Sections() {
-		if section.Name() == ini.DefaultSection {
-			if len(section.Keys()) > 0 {
-				k := section.Keys()[0]
-				return nil, &Problem{File: file, Key: k.Name(), Value: k.Value(), Reason: "setting stands outside a section"}
-			}
-			continue
+	t := &Tree{branches: branches}
+	if err := t.checkRoutes(file); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+// ParseBranches reads some branches in INI form and checks every value by
+// itself. Whether the branches fit into a tree is checked by Validate, after
+// they have been put into it.
+func ParseBranches(file string, data []byte) (map[Branch]Values, error) {
+	sections, err := ReadSections(file, data)
+	if err != nil {
+		return nil, err
+	}
+	branches := map[Branch]Values{}
+	for _, s := range sections {
+		if s.Name == "" {
+			v := s.Values[0]
+			return nil, NewProblem(file, "", v.Key, v.Value, "setting stands outside a section")
 		}
-		b, err := ParseBranch(section.Name())
+		b, err := ParseBranch(s.Name)
 		if err != nil {
-			return nil, &Problem{File: file, Section: section.Name(), Reason: err.Error()}
+			return nil, NewProblem(file, s.Name, "", "", err.Error())
+		}
+		if _, ok := branches[b]; ok {
+			return nil, NewProblem(file, s.Name, "", "", "section occurs twice")
 		}
 		values := Values{}
-		for _, k := range section.Keys() {
-			values[k.Name()] = k.Value()
+		for _, v := range s.Values {
+			if err := checkValue(b, v.Key, v.Value); err != nil {
+				return nil, NewProblem(file, s.Name, v.Key, v.Value, err.Error())
+			}
+			values[v.Key] = v.Value
 		}
-		t.branches[b] = values
+		branches[b] = values
 	}
-	return t, t.Validate(file)
+	return branches, nil
 }
 
-// Validate checks every value of the tree against the schema.
+// Validate checks every value of the tree against the schema, and the branches
+// against each other. The problem returned is the first one in the order of
+// Sorted branches and of keys, so it is the same on every node.
 func (t *Tree) Validate(file string) error {
-	for b, values := range t.branches {
-		for key, value := range values {
-			if err := checkValue(b, key, value); err != nil {
-				return &Problem{File: file, Section: b.String(), Key: key, Value: value, Reason: err.Error()}
+	for _, b := range t.Sorted() {
+		if b != Defaults {
+			if _, err := ParseBranch(b.String()); err != nil {
+				return NewProblem(file, b.String(), "", "", err.Error())
+			}
+		}
+		values := t.branches[b]
+		for _, key := range slices.Sorted(maps.Keys(values)) {
+			if err := checkValue(b, key, values[key]); err != nil {
+				return NewProblem(file, b.String(), key, values[key], err.Error())
 			}
 		}
 	}
+	return t.checkRoutes(file)
+}
+
+// checkRoutes finds routes that lack a setting or have the same path.
+func (t *Tree) checkRoutes(file string) error {
+	paths := map[string]Branch{}
+	for _, b := range t.Sorted() {
+		if b.Kind != KindRoute {
+			continue
+		}
+		for _, key := range []string{"path", "service"} {
+			if value, _ := t.Lookup(b, key); value == "" {
+				return NewProblem(file, b.String(), key, "", "route has no "+key)
+			}
+		}
+		path, _ := t.Lookup(b, "path")
+		if other, ok := paths[path]; ok {
+			return NewProblem(file, b.String(), "path", path, "section \""+other.String()+"\" has the same path")
+		}
+		paths[path] = b
+	}
 	return nil
 }
+
+// Sorted returns the branches in the order in which a tree is written: defaults,
+// workspaces, routes, services, and by name within a kind.
+func (t *Tree) Sorted() []Branch {
+	return slices.SortedFunc(maps.Keys(t.branches), CompareBranches)
+}
+
+// CompareBranches orders branches as Sorted does.
+func CompareBranches(a, b Branch) int {
+	return cmp.Or(
+		cmp.Compare(slices.Index(Kinds, a.Kind), slices.Index(Kinds, b.Kind)),
+		cmp.Compare(a.Name, b.Name),
+	)
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -1,135 +1,158 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
-	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/internal/workspace"
 )
 
-// field describes one setting.
-type field struct {
-	kinds []Kind // branches in which it may be set, besides the defaults
-	def   string
-	doc   string // meaning, with the unit
-	check func(string) error
-	// ownBranch means that the defaults cannot hold it.
-	ownBranch bool
+// Setting describes one setting: its type, unit, bounds, default and meaning.
+type Setting struct {
+	Key  string
+	Kind Kind // branches in which it may be set, besides the defaults
+	Type Type
+	Unit string
+	// Min and Max bound numbers, in the unit, and durations, in seconds.
+	Min, Max float64
+	Default  string
+	Doc      string
+	// Own means that the defaults cannot hold the setting.
+	Own bool
+	// NotInherited means that a branch does not take the value of the branch
+	// above it.
+	NotInherited bool
 }
 
-var schema = map[string]field{
-	"rate":             {kinds: []Kind{KindWorkspace}, def: "100", doc: "calls per second across the fleet", check: float(0, 1e6)},
-	"burst":            {kinds: []Kind{KindWorkspace}, def: "200", doc: "calls above the rate at one moment, across the fleet", check: float(1, 1e6)},
-	"weight":           {kinds: []Kind{KindWorkspace}, def: "1", doc: "share of a contended backend server relative to other workspaces", check: float(0.01, 1000)},
-	"max_importance":   {kinds: []Kind{KindWorkspace}, def: "critical", doc: "highest importance that the workspace's requests may have", check: importance},
-	"path":             {kinds: []Kind{KindRoute}, doc: "path prefix of the route, for example /spec", check: path, ownBranch: true},
-	"service":          {kinds: []Kind{KindRoute}, doc: "service that serves the route", check: name, ownBranch: true},
-	"workspaces":       {kinds: []Kind{KindRoute}, def: "*", doc: "workspaces that may use the route, separated by commas; * opens it to all", check: anyText},
-	"importance":       {kinds: []Kind{KindRoute}, def: "normal", doc: "importance of requests that name none", check: importance},
-	"idempotent":       {kinds: []Kind{KindRoute}, def: "false", doc: "whether requests that do not say may be repeated", check: boolean},
-	"timeout":          {kinds: []Kind{KindRoute}, def: "5s", doc: "deadline of requests that name none, and the longest allowed", check: duration(time.Millisecond, 10*time.Minute)},
-	"retry_budget":     {kinds: []Kind{KindRoute}, def: "3", doc: "extra attempts for a whole call tree", check: integer(0, 100)},
-	"retry_ratio":      {kinds: []Kind{KindService}, def: "0.1", doc: "retries as a fraction of first attempts", check: float(0, 1)},
-	"max_connections":  {kinds: []Kind{KindService}, def: "200", doc: "connections to one backend server", check: integer(1, 100000)},
-	"max_body":         {kinds: []Kind{KindService}, def: "1048576", doc: "largest request body, in bytes", check: integer(0, 64<<20)},
-	"queue_time":       {kinds: []Kind{KindService}, def: "200ms", doc: "longest wait in a guard's queue", check: duration(0, time.Minute)},
-	"progress_timeout": {kinds: []Kind{KindService}, def: "2s", doc: "time without a byte on a connection with a call outstanding before it is probed", check: duration(10*time.Millisecond, time.Minute)},
-}
-
-// Problem is an invalid setting.
-type Problem struct {
-	File    string
-	Section string
-	Key     string
-	Value   string
-	Reason  string
-}
+// Type is the type of a setting's value.
+type Type string
 
-// Error implements error.
-func (p *Problem) Error() string {
-	return fmt.Sprintf("%s: section %q, key %q, value %q: %s", p.File, p.Section, p.Key, p.Value, p.Reason)
-}
+// Types of settings.
+const (
+	TypeNumber     Type = "number"
+	TypeInteger    Type = "whole number"
+	TypeDuration   Type = "duration"
+	TypeBoolean    Type = "true or false"
+	TypeImportance Type = "importance"
+	TypePath       Type = "path"
+	TypeName       Type = "name"
+	TypeNames      Type = "list of names"
+)
 
-func checkValue(b Branch, key, value string) error {
-	f, ok := schema[key]
-	if !ok {
-		return fmt.Errorf("unknown setting")
-	}
-	if b.Kind == KindDefaults && f.ownBranch {
-		return fmt.Errorf("setting cannot have a fleet-wide default")
-	}
-	if b.Kind != KindDefaults && !slices.Contains(f.kinds, b.Kind) {
-		return fmt.Errorf("setting does not belong in a %s branch", b.Kind)
-	}
-	return f.check(value)
-}
+// Kinds are the kinds of branches in the order in which a tree is written.
+var Kinds = []Kind{KindDefaults, KindWorkspace, KindRoute, KindService}
 
-func float(lo, hi float64) func(string) error {
-	return func(s string) error {
-		v, err := strconv.ParseFloat(s, 64)
-		if err != nil {
-			return fmt.Errorf("not a number")
-		}
-		if !(v >= lo && v <= hi) {
-			return fmt.Errorf("out of bounds %g to %g", lo, hi)
-		}
-		return nil
-	}
+var schema = []Setting{
+	{
+		Key: "rate", Kind: KindWorkspace, Type: TypeNumber, Unit: "calls/s", Min: 0, Max: 1e6, Default: "100",
+		Doc: "Calls per second that the workspace may send, across the fleet.",
+	},
+	{
+		Key: "burst", Kind: KindWorkspace, Type: TypeNumber, Unit: "calls", Min: 1, Max: 1e6, Default: "200",
+		Doc: "Calls above the rate that the workspace may send at one moment, across the fleet.",
+	},
+	{
+		Key: "weight", Kind: KindWorkspace, Type: TypeNumber, Min: 0.01, Max: 1000, Default: "1",
+		Doc: "Share of a contended backend server relative to other workspaces.",
+	},
+	{
+		Key: "max_importance", Kind: KindWorkspace, Type: TypeImportance, Default: "critical",
+		Doc: "Highest importance that the workspace's requests may have.",
+	},
+	{
+		Key: "path", Kind: KindRoute, Type: TypePath, Own: true, NotInherited: true,
+		Doc: "Path prefix of the route, for example /spec. Each route has its own.",
+	},
+	{
+		Key: "service", Kind: KindRoute, Type: TypeName, Own: true,
+		Doc: "Service that serves the route.",
+	},
+	{
+		Key: "workspaces", Kind: KindRoute, Type: TypeNames, Default: "*",
+		Doc: "Workspaces that may use the route, separated by commas; * opens it to all.",
+	},
+	{
+		Key: "importance", Kind: KindRoute, Type: TypeImportance, Default: "normal",
+		Doc: "Importance of requests that name none.",
+	},
+	{
+		Key: "idempotent", Kind: KindRoute, Type: TypeBoolean, Default: "false",
+		Doc: "Whether requests that do not say may be repeated.",
+	},
+	{
+		Key: "timeout", Kind: KindRoute, Type: TypeDuration, Min: 0.001, Max: 600, Default: "5s",
+		Doc: "Deadline of requests that name none, and the longest allowed.",
+	},
+	{
+		Key: "retry_budget", Kind: KindRoute, Type: TypeInteger, Unit: "attempts", Min: 0, Max: 100, Default: "3",
+		Doc: "Extra attempts for a whole call tree.",
+	},
+	{
+		Key: "retry_ratio", Kind: KindService, Type: TypeNumber, Unit: "retries per first attempt", Min: 0, Max: 1, Default: "0.1",
+		Doc: "Retries as a fraction of first attempts.",
+	},
+	{
+		Key: "max_connections", Kind: KindService, Type: TypeInteger, Unit: "connections", Min: 1, Max: 100000, Default: "200",
+		Doc: "Connections to one backend server.",
+	},
+	{
+		Key: "max_body", Kind: KindService, Type: TypeInteger, Unit: "bytes", Min: 0, Max: 64 << 20, Default: "1048576",
+		Doc: "Largest request body.",
+	},
+	{
+		Key: "queue_time", Kind: KindService, Type: TypeDuration, Min: 0, Max: 60, Default: "200ms",
+		Doc: "Longest wait in a guard's queue.",
+	},
+	{
+		Key: "progress_timeout", Kind: KindService, Type: TypeDuration, Min: 0.01, Max: 60, Default: "2s",
+		Doc: "Time without a byte on a connection with a call outstanding before the connection is probed.",
+	},
 }
 
-func integer(lo, hi int64) func(string) error {
-	return func(s string) error {
-		v, err := strconv.ParseInt(s, 10, 64)
-		if err != nil {
-			return fmt.Errorf("not a whole number")
-		}
-		if v < lo || v > hi {
-			return fmt.Errorf("out of bounds %d to %d", lo, hi)
-		}
-		return nil
+var byKey = func() map[string]*Setting {
+	m := map[string]*Setting{}
+	for i := range schema {
+		m[schema[i].Key] = &schema[i]
 	}
-}
+	return m
+}()
 
-func duration(lo, hi time.Duration) func(string) error {
-	return func(s string) error {
-		v, err := time.ParseDuration(s)
-		if err != nil {
-			return fmt.Errorf("not a duration such as 200ms or 5s")
-		}
-		if v < lo || v > hi {
-			return fmt.Errorf("out of bounds %s to %s", lo, hi)
-		}
-		return nil
-	}
-}
+// Schema returns all settings in the order of the documentation.
+func Schema() []Setting { return slices.Clone(schema) }
 
-func boolean(s string) error {
-	if s != "true" && s != "false" {
-		return fmt.Errorf("not true or false")
+// Bounds returns the bounds of a setting in words; empty if it has none.
+func (s *Setting) Bounds() string {
+	switch s.Type {
+	case TypeNumber:
+		return fmt.Sprintf("%g to %g", s.Min, s.Max)
+	case TypeInteger:
+		return fmt.Sprintf("%d to %d", int64(s.Min), int64(s.Max))
+	case TypeDuration:
+		return fmt.Sprintf("%s to %s", seconds(s.Min), seconds(s.Max))
+	default:
+		return ""
 	}
-	return nil
 }
 
-func importance(s string) error {
-	_, err := request.ParseImportance(s)
-	return err
-}
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func path(s string) error {
-	if !strings.HasPrefix(s, "/") {
-		return fmt.Errorf("path does not start with /")
-	}
-	return nil
-}
-
-func name(s string) error {
-	if !validName(s) {
-		return fmt.Errorf("not a valid name")
+// checkValue returns why a value may not stand in a branch.
+func checkValue(b Branch, key, value string) error {
+	s, ok := byKey[key]
+	switch {
+	case workspace.ContainsKey(value):
+		return errors.New("value looks like a workspace key, which must not be stored")
+	case !ok:
+		return errors.New("unknown setting")
+	case b.Kind == KindDefaults && s.Own:
+		return errors.New("setting cannot have a fleet-wide default")
+	case b.Kind != KindDefaults && b.Kind != s.Kind:
+		return fmt.Errorf("setting does not belong in a %s branch", b.Kind)
+	case strings.TrimSpace(value) != value || strings.ContainsAny(value, "\r\n"):
+		return errors.New("value has white space around it or more than one line")
 	}
-	return nil
+	return s.check(value)
 }
-
-func anyText(string) error { return nil }
--- /dev/null
+++ b/internal/settings/sections.go
@@ -0,0 +1,94 @@
+package settings
+
+import (
+	"fmt"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/teaselseam/teaselseam/internal/workspace"
+)
+
+// MaxFileBytes bounds an INI file. The design size (160 services and some
+// thousand workspaces and routes) needs about a third of it.
+const MaxFileBytes = 1 << 20
+
+// Section is one section of an INI file.
+type Section struct {
+	Name   string // empty for settings before the first section
+	Values []Value
+}
+
+// Value is one setting of a section.
+type Value struct {
+	Key   string
+	Value string
+}
+
+// Problem is an invalid setting. It never quotes a workspace key.
+type Problem struct {
+	File    string `json:"file,omitempty"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Value   string `json:"value,omitempty"`
+	Reason  string `json:"reason"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	return fmt.Sprintf("%s: section %q, key %q, value %q: %s", p.File, p.Section, p.Key, p.Value, p.Reason)
+}
+
+// NewProblem returns a problem in which workspace keys are replaced.
+func NewProblem(file, section, key, value, reason string) *Problem {
+	return &Problem{
+		File:    file,
+		Section: workspace.Redact(section),
+		Key:     workspace.Redact(key),
+		Value:   workspace.Redact(value),
+		Reason:  workspace.Redact(reason),
+	}
+}
+
+// ReadSections reads the sections of an INI file in their order. A section or
+// key that occurs twice is a *Problem, because only one of the two could take
+// effect. References such as %(name)s are not expanded.
+func ReadSections(file string, data []byte) ([]Section, error) {
+	if len(data) > MaxFileBytes {
+		return nil, NewProblem(file, "", "", "", fmt.Sprintf("file has %d bytes, at most %d are allowed", len(data), MaxFileBytes))
+	}
+	f, err := ini.LoadSources(ini.LoadOptions{
+		KeyValueDelimiters:         "=",
+		SpaceBeforeInlineComment:   true,
+		IgnoreContinuation:         true,
+		AllowNonUniqueSections:     true,
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		PreserveEmptyShadowValues:  true,
+	}, data)
+	if err != nil {
+		return nil, NewProblem(file, "", "", "", err.Error())
+	}
+	var sections []Section
+	seen := map[string]bool{}
+	for _, s := range f.Sections() {
+		section := Section{Name: s.Name()}
+		if section.Name == ini.DefaultSection {
+			section.Name = ""
+			if len(s.Keys()) == 0 {
+				continue
+			}
+		}
+		if seen[section.Name] {
+			return nil, NewProblem(file, section.Name, "", "", "section occurs twice")
+		}
+		seen[section.Name] = true
+		for _, k := range s.Keys() {
+			if all := k.ValueWithShadows(); len(all) > 1 {
+				return nil, NewProblem(file, section.Name, k.Name(), all[1], "key occurs twice in its section")
+			}
+			section.Values = append(section.Values, Value{Key: k.Name(), Value: k.Value()})
+		}
+		sections = append(sections, section)
+	}
+	return sections, nil
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"maps"
 	"strings"
+
+	"github.com/teaselseam/teaselseam/internal/workspace"
 )
 
 // Kind is the kind of a branch.
@@ -59,19 +61,23 @@
 	return b, nil
 }
 
+// ValidName reports whether s may name a workspace, route or service.
+func ValidName(s string) bool { return validName(s) }
+
 func validName(s string) bool {
 	if s == "" || len(s) > maxNameLength || strings.HasPrefix(s, "/") || strings.HasSuffix(s, "/") {
 		return false
 	}
 	for _, c := range s {
-		switch {
-		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
-		case strings.ContainsRune("-_./", c):
-		default:
+		if !isNameChar(c) {
 			return false
 		}
 	}
-	return !strings.Contains(s, "//")
+	return !strings.Contains(s, "//") && !workspace.ContainsKey(s)
+}
+
+func isNameChar(c rune) bool {
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.ContainsRune("-_./", c)
 }
 
 // maxNameLength is the longest branch name, in bytes.
@@ -127,10 +133,17 @@
 // Lookup returns the value of a setting for a branch and the branch that sets
 // it. The origin is the zero Branch if the value is the schema's default.
 func (t *Tree) Lookup(b Branch, key string) (value string, origin Branch) {
+	s, known := byKey[key]
+	if !known {
+		return "", Branch{}
+	}
 	for ok := true; ok; b, ok = b.Parent() {
 		if v, set := t.branches[b][key]; set {
 			return v, b
 		}
+		if s.NotInherited {
+			break
+		}
 	}
-	return schema[key].def, Branch{}
+	return s.Default, Branch{}
 }
