--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -10,14 +10,18 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/settings"
 	"github.com/teaselseam/teaselseam/internal/workspace"
 )
 
+// MaxEntryBytes bounds an encoded entry. An edit that replaces a whole tree holds
+// it twice, with some overhead for JSON.
+const MaxEntryBytes = 4 * settings.MaxFileBytes
+
 // Entry is one change. Exactly one of the change fields is set.
 type Entry struct {
 	Seq       int64     `json:"seq"`
@@ -40,11 +44,7 @@
 }
 
 // BranchChange is the change of one branch. Nil values mean that the branch is absent.
-type BranchChange struct {
-	Branch settings.Branch `json:"branch"`
-	Old    settings.Values `json:"old"`
-	New    settings.Values `json:"new"`
-}
+type BranchChange = settings.Change
 
 // KeyChange issues or revokes a key.
 type KeyChange struct {
@@ -52,58 +52,73 @@
 	Workspace string           `json:"workspace,omitempty"`
 }
 
-// State is the control state after applying a prefix of the log. It is
-// immutable; Apply returns a new one.
-type State struct {
-	Seq     int64
-	Tree    *settings.Tree
-	Keys    *workspace.Keys
-	Ring    json.RawMessage
-	RingSeq int64 // sequence number of the ring epoch
-	// Lifts maps a quarantine fingerprint to the time of its newest lift.
-	Lifts map[string]time.Time
-	// changed is the sequence number of each branch's last change.
-	changed map[settings.Branch]int64
+// Validate reports whether an entry is well formed. An entry with a change that
+// this version does not know is an error: skipping it could skip a revocation.
+func (e *Entry) Validate() error {
+	changes := 0
+	for _, set := range []bool{e.Settings != nil, e.KeyIssued != nil, e.KeyRevoked != nil, len(e.Ring) > 0, e.QuarantineLift != ""} {
+		if set {
+			changes++
+		}
+	}
+	switch {
+	case e.Seq <= 0:
+		return fmt.Errorf("entry has sequence number %d", e.Seq)
+	case e.Operation == "":
+		return errors.New("entry has no operation ID")
+	case changes != 1:
+		return fmt.Errorf("entry %d has %d known changes, want one", e.Seq, changes)
+	}
+	if e.Settings == nil {
+		return nil
+	}
+	for _, c := range e.Settings.Branches {
+		if err := validBranch(c.Branch); err != nil {
+			return fmt.Errorf("entry %d: %w", e.Seq, err)
+		}
+	}
+	return nil
+}
+
+func validBranch(b settings.Branch) error {
+	parsed, err := settings.ParseBranch(b.String())
+	if err == nil && parsed != b {
+		err = fmt.Errorf("branch %q of kind %q is malformed", b.Name, b.Kind)
+	}
+	return err
 }
 
-// NewState returns the state before the first entry.
-func NewState() *State {
-	return &State{
-		Tree:    settings.NewTree(),
-		Keys:    workspace.NewKeys(),
-		Lifts:   map[string]time.Time{},
-		changed: map[settings.Branch]int64{},
+// EncodeEntry returns the stored form of an entry.
+func EncodeEntry(e Entry) ([]byte, error) {
+	if err := e.Validate(); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(e)
+	if err != nil {
+		return nil, fmt.Errorf("encode entry: %w", err)
+	}
+	if len(data) > MaxEntryBytes {
+		return nil, fmt.Errorf("entry has %d bytes, at most %d are allowed", len(data), MaxEntryBytes)
 	}
+	return data, nil
 }
 
-// Apply returns the state after one more entry. The entry must be the next one.
-func (s *State) Apply(e Entry) (*State, error) {
-	if e.Seq != s.Seq+1 {
-		return nil, fmt.Errorf("entry %d does not follow %d", e.Seq, s.Seq)
+// DecodeEntry reads the stored form of an entry.
+func DecodeEntry(data []byte) (Entry, error) {
+	var e Entry
+	if err := decode(data, MaxEntryBytes, &e); err != nil {
+		return Entry{}, fmt.Errorf("decode entry: %w", err)
 	}
-	next := *s
-	next.Seq = e.Seq
-	switch {
-	case e.Settings != nil:
-		next.changed = maps.Clone(s.changed)
-		for _, c := range e.Settings.Branches {
-			next.Tree = next.Tree.With(c.Branch, c.New)
-			next.changed[c.Branch] = e.Seq
-		}
-	case e.KeyIssued != nil:
-		next.Keys = s.Keys.Issue(e.KeyIssued.Digest, e.KeyIssued.Workspace)
-	case e.KeyRevoked != nil:
-		next.Keys = s.Keys.Revoke(e.KeyRevoked.Digest)
-	case e.Ring != nil:
-		next.Ring = e.Ring
-		next.RingSeq = e.Seq
-	case e.QuarantineLift != "":
-		next.Lifts = maps.Clone(s.Lifts)
-		next.Lifts[e.QuarantineLift] = e.Time
+	if err := e.Validate(); err != nil {
+		return Entry{}, err
 	}
-	return &next, nil
+	return e, nil
 }
 
-// LastChanged returns the sequence number of the last change of a branch; zero
-// if it never changed.
-func (s *State) LastChanged(b settings.Branch) int64 { return s.changed[b] }
+// decode reads exactly one JSON value of at most limit bytes.
+func decode(data []byte, limit int, v any) error {
+	if len(data) > limit {
+		return fmt.Errorf("%d bytes, at most %d are allowed", len(data), limit)
+	}
+	return json.Unmarshal(data, v)
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -107,6 +107,12 @@
 	return &Tree{branches: map[Branch]Values{}}
 }
 
+// TreeOf returns a tree with the given branches. The caller must not change the
+// values afterwards.
+func TreeOf(branches map[Branch]Values) *Tree {
+	return &Tree{branches: maps.Clone(branches)}
+}
+
 // Branches returns the branches of the tree. The caller must not change the values.
 func (t *Tree) Branches() map[Branch]Values {
 	return maps.Clone(t.branches)
--- a/internal/workspace/keys.go
+++ b/internal/workspace/keys.go
@@ -43,6 +43,9 @@
 	return err
 }
 
+// Compare orders digests bytewise.
+func (d Digest) Compare(other Digest) int { return bytes.Compare(d[:], other[:]) }
+
 // GenerateKey returns a new random key.
 func GenerateKey() string {
 	var b [keyBytes]byte
@@ -103,6 +106,20 @@
 	return bucket[found], true
 }
 
+// KeysOf returns a set of issued and revoked digests.
+func KeysOf(issued map[Digest]string, revoked []Digest) *Keys {
+	k := NewKeys()
+	for d, workspace := range issued {
+		k.put(record{digest: d, workspace: workspace, issued: true})
+	}
+	for _, d := range revoked {
+		r, _ := k.find(d)
+		r.digest, r.revoked = d, true
+		k.put(r)
+	}
+	return k
+}
+
 // put stores a record in a bucket of its own copy.
 func (k *Keys) put(r record) {
 	p := prefixOf(r.digest)
@@ -182,7 +199,7 @@
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b Digest) int { return bytes.Compare(a[:], b[:]) })
+	slices.SortFunc(out, Digest.Compare)
 	return out
 }
 
