--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,14 +4,20 @@
 // "op/OPERATION" the sequence number of an operation. A commit checks the
 // version of head and writes all three in one transaction, so entries have no
 // gaps and an operation is applied at most once.
+//
+// The object "snapshot" holds the state folded from the log up to some entry, for
+// nodes that start. It only saves reading: the log decides. A snapshot that does
+// not match the log is ignored. Whoever shortens the log must keep the last entry
+// of the snapshot and all later ones.
 package store
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strconv"
+	"sync"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -30,11 +36,36 @@
 
 // Log is the change log on the platform. It is safe for concurrent use.
 type Log struct {
-	table platform.Table
+	table   platform.Table
+	objects platform.Objects // nil: no snapshots
+	every   int64            // entries from one snapshot to the next
+	pause   func(ctx context.Context, d time.Duration) bool
+
+	mu    sync.Mutex
+	state *changelog.State // newest state folded here; nil before the first Load
+}
+
+// Option changes how a Log works.
+type Option func(*Log)
+
+// DefaultSnapshotEvery is a sensible distance between snapshots: a node that
+// starts reads at most one scan of entries after the snapshot.
+const DefaultSnapshotEvery = scanLimit
+
+// WithSnapshots makes the Log read a snapshot at start and write one each time
+// the log has grown by a number of entries.
+func WithSnapshots(o platform.Objects, every int64) Option {
+	return func(l *Log) { l.objects, l.every = o, every }
 }
 
 // NewLog returns the change log held in a table.
-func NewLog(t platform.Table) *Log { return &Log{table: t} }
+func NewLog(t platform.Table, options ...Option) *Log {
+	l := &Log{table: t, pause: pause}
+	for _, o := range options {
+		o(l)
+	}
+	return l
+}
 
 // Head is the position of the log: the newest sequence number and the version
 // of the row that holds it.
@@ -67,8 +98,8 @@
 	}
 	entries := make([]changelog.Entry, 0, len(rows))
 	for _, row := range rows {
-		var e changelog.Entry
-		if err := json.Unmarshal(row.Value, &e); err != nil {
+		e, err := changelog.DecodeEntry(row.Value)
+		if err != nil {
 			return nil, oops.In("store").With("step", "decode entry", "row", row.Key).Wrap(err)
 		}
 		entries = append(entries, e)
@@ -76,14 +107,24 @@
 	return entries, nil
 }
 
+// Entry returns one entry, or platform.ErrNotFound.
+func (l *Log) Entry(ctx context.Context, seq int64) (changelog.Entry, error) {
+	row, err := l.table.Get(ctx, logKey(seq))
+	if err != nil {
+		return changelog.Entry{}, oops.In("store").With("step", "read entry", "peer", "platform").Wrap(err)
+	}
+	return changelog.DecodeEntry(row.Value)
+}
+
 // Append commits an entry at the position after head and returns it with its
 // sequence number. platform.ErrConflict means that another entry was committed
-// first. Any other error leaves the outcome unknown; Operation tells it.
+// first, or this operation before. Any other error but platform.ErrUnavailable
+// leaves the outcome unknown; Operation tells it. Commit does all of this.
 func (l *Log) Append(ctx context.Context, head Head, e changelog.Entry) (changelog.Entry, error) {
 	e.Seq = head.Seq + 1
-	value, err := json.Marshal(e)
+	value, err := changelog.EncodeEntry(e)
 	if err != nil {
-		return e, err
+		return e, &invalidEntry{err}
 	}
 	seq := []byte(strconv.FormatInt(e.Seq, 10))
 	err = l.table.Commit(ctx, platform.Transaction{
@@ -103,12 +144,18 @@
 	return e, nil
 }
 
+// invalidEntry is an entry that cannot be stored. Nothing was sent.
+type invalidEntry struct{ error }
+
+// Unwrap returns the reason.
+func (e *invalidEntry) Unwrap() error { return e.error }
+
 // Operation returns the sequence number that an operation was committed at, or
 // platform.ErrNotFound.
 func (l *Log) Operation(ctx context.Context, op string) (int64, error) {
 	row, err := l.table.Get(ctx, operationKey(op))
 	if err != nil {
-		return 0, err
+		return 0, oops.In("store").With("step", "read operation", "peer", "platform").Wrap(err)
 	}
 	return strconv.ParseInt(string(row.Value), 10, 64)
 }
