Check every value of a node's settings file

Values are checked for their meaning: IP number and port, other nodes able to connect, URL with an IP number, known rights, digests in hex, and no duplicates. Sections are read by the settings package, which refuses duplicates.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,12 +4,10 @@
 package config
 
 import (
-	"fmt"
-	"net"
 	"os"
 	"strings"
 
-	"gopkg.in/ini.v1"
+	"github.com/teaselseam/teaselseam/internal/settings"
 )
 
 // Config are the settings of one process.
@@ -52,21 +50,17 @@
 }
 
 // Rights of operators.
-var Rights = []string{"read", "edit", "keys"}
+const (
+	RightRead = "read" // settings, status, audit trail, key list
+	RightEdit = "edit" // settings, quarantine
+	RightKeys = "keys" // issue and revoke keys
+)
 
-// Problem is an invalid setting of the process.
-type Problem struct {
-	File    string
-	Section string
-	Key     string
-	Value   string
-	Reason  string
-}
+// Rights are all rights of operators.
+var Rights = []string{RightRead, RightEdit, RightKeys}
 
-// Error implements error.
-func (p *Problem) Error() string {
-	return fmt.Sprintf("%s: section %q, key %q, value %q: %s", p.File, p.Section, p.Key, p.Value, p.Reason)
-}
+// Problem is an invalid setting of the process.
+type Problem = settings.Problem
 
 // Load reads and validates a settings file.
 func Load(file string) (*Config, error) {
@@ -79,138 +73,162 @@
 
 // field is one known key of a section.
 type field struct {
-	check func(string) string // returns the reason why a value is wrong
-	set   func(*Config, string)
-}
-
-var sections = map[string]map[string]field{
-	"node": {
-		"name":        {nonEmpty, func(c *Config, v string) { c.Node.Name = v }},
-		"data_centre": {nonEmpty, func(c *Config, v string) { c.Node.DataCentre = v }},
-		"region":      {nonEmpty, func(c *Config, v string) { c.Node.Region = v }},
-		"ingress":     {ipPort, func(c *Config, v string) { c.Node.Ingress = v }},
-		"peer":        {ipPort, func(c *Config, v string) { c.Node.PeerAddr = v }},
-		"admin":       {ipPort, func(c *Config, v string) { c.Node.Admin = v }},
-	},
-	"peer": {
-		"ca_file":   {nonEmpty, func(c *Config, v string) { c.Peer.CAFile = v }},
-		"cert_file": {nonEmpty, func(c *Config, v string) { c.Peer.CertFile = v }},
-		"key_file":  {nonEmpty, func(c *Config, v string) { c.Peer.KeyFile = v }},
-		"seeds":     {ipPorts, func(c *Config, v string) { c.Peer.Seeds = splitList(v) }},
-	},
-	"platform": {
-		"address": {nonEmpty, func(c *Config, v string) { c.Platform.Address = v }},
-	},
-}
-
-// required keys, as section and key.
-var required = [][2]string{
-	{"node", "name"},
-	{"node", "data_centre"},
-	{"node", "region"},
-	{"node", "ingress"},
-	{"node", "peer"},
-	{"node", "admin"},
-	{"peer", "ca_file"},
-	{"peer", "cert_file"},
-	{"peer", "key_file"},
-	{"platform", "address"},
-}
-
-// Parse reads and validates settings; the file name is used in errors only.
+	check    func(string) string // returns the reason why a value is wrong
+	set      func(*Config, string)
+	optional bool
+}
+
+// fields are the known keys of one section, in the order in which missing ones
+// are reported.
+type fields []struct {
+	key string
+	field
+}
+
+var sections = []struct {
+	name   string
+	fields fields
+}{
+	{"node", fields{
+		{"name", field{check: nodeName, set: func(c *Config, v string) { c.Node.Name = v }}},
+		{"data_centre", field{check: nodeName, set: func(c *Config, v string) { c.Node.DataCentre = v }}},
+		{"region", field{check: nodeName, set: func(c *Config, v string) { c.Node.Region = v }}},
+		{"ingress", field{check: ipPort, set: func(c *Config, v string) { c.Node.Ingress = v }}},
+		{"peer", field{check: dialable, set: func(c *Config, v string) { c.Node.PeerAddr = v }}},
+		{"admin", field{check: ipPort, set: func(c *Config, v string) { c.Node.Admin = v }}},
+	}},
+	{"peer", fields{
+		{"ca_file", field{check: nonEmpty, set: func(c *Config, v string) { c.Peer.CAFile = v }}},
+		{"cert_file", field{check: nonEmpty, set: func(c *Config, v string) { c.Peer.CertFile = v }}},
+		{"key_file", field{check: nonEmpty, set: func(c *Config, v string) { c.Peer.KeyFile = v }}},
+		{"seeds", field{check: seeds, set: func(c *Config, v string) { c.Peer.Seeds = splitList(v) }, optional: true}},
+	}},
+	{"platform", fields{
+		{"address", field{check: baseURL, set: func(c *Config, v string) { c.Platform.Address = v }}},
+	}},
+}
+
+// operatorPrefix starts the name of an operator's section.
+const operatorPrefix = "operator "
+
+// Parse reads and validates settings; the file name is used in errors only. The
+// first wrong value in the order of the file is returned as *Problem, and missing
+// settings come after those.
 func Parse(file string, data []byte) (*Config, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", SpaceBeforeInlineComment: true}, data)
+	read, err := settings.ReadSections(file, data)
 	if err != nil {
-		return nil, &Problem{File: file, Reason: err.Error()}
+		return nil, err
 	}
 	c := &Config{}
-	for _, s := range f.Sections() {
+	given := map[[2]string]bool{}
+	for _, s := range read {
+		for _, v := range s.Values {
+			given[[2]string{s.Name, v.Key}] = true
+		}
 		if err := c.section(file, s); err != nil {
 			return nil, err
 		}
 	}
-	for _, r := range required {
-		if !f.Section(r[0]).HasKey(r[1]) {
-			return nil, &Problem{File: file, Section: r[0], Key: r[1], Reason: "setting is required"}
+	for _, s := range sections {
+		for _, f := range s.fields {
+			if !f.optional && !given[[2]string{s.name, f.key}] {
+				return nil, settings.NewProblem(file, s.name, f.key, "", "setting is required")
+			}
 		}
 	}
-	return c, nil
+	return c, c.checkAddresses(file)
 }
 
-func (c *Config) section(file string, s *ini.Section) error {
-	name := s.Name()
-	if name == ini.DefaultSection && len(s.Keys()) == 0 {
-		return nil
+func (c *Config) section(file string, s settings.Section) error {
+	if s.Name == "" {
+		return settings.NewProblem(file, "", s.Values[0].Key, s.Values[0].Value, "setting stands outside a section")
 	}
-	if operator, ok := strings.CutPrefix(name, "operator "); ok {
-		return c.operator(file, operator, s)
+	if name, ok := strings.CutPrefix(s.Name, operatorPrefix); ok {
+		return c.operator(file, strings.TrimSpace(name), s)
 	}
-	fields, ok := sections[name]
+	known, ok := fieldsOf(s.Name)
 	if !ok {
-		return &Problem{File: file, Section: name, Reason: "unknown section"}
+		return settings.NewProblem(file, s.Name, "", "", "unknown section")
 	}
-	for _, k := range s.Keys() {
-		f, ok := fields[k.Name()]
+	for _, v := range s.Values {
+		f, ok := known.find(v.Key)
 		if !ok {
-			return &Problem{File: file, Section: name, Key: k.Name(), Value: k.Value(), Reason: "unknown setting"}
+			return settings.NewProblem(file, s.Name, v.Key, v.Value, "unknown setting")
 		}
-		if reason := f.check(k.Value()); reason != "" {
-			return &Problem{File: file, Section: name, Key: k.Name(), Value: k.Value(), Reason: reason}
+		if reason := f.check(v.Value); reason != "" {
+			return settings.NewProblem(file, s.Name, v.Key, withoutPassword(v.Value), reason)
 		}
-		f.set(c, k.Value())
+		f.set(c, v.Value)
 	}
 	return nil
 }
 
-func (c *Config) operator(file, name string, s *ini.Section) error {
-	o := Operator{Name: name}
-	for _, k := range s.Keys() {
-		switch k.Name() {
-		case "token_sha256":
-			o.TokenDigest = k.Value()
-		case "rights":
-			o.Rights = splitList(k.Value())
-		default:
-			return &Problem{File: file, Section: s.Name(), Key: k.Name(), Reason: "unknown setting"}
+func fieldsOf(section string) (fields, bool) {
+	for _, s := range sections {
+		if s.name == section {
+			return s.fields, true
 		}
 	}
-	if len(o.TokenDigest) != 64 {
-		return &Problem{File: file, Section: s.Name(), Key: "token_sha256", Reason: "not a SHA-256 digest in hex"}
-	}
-	c.Operators = append(c.Operators, o)
-	return nil
+	return nil, false
 }
 
-func nonEmpty(v string) string {
-	if v == "" {
-		return "value is empty"
+func (fs fields) find(key string) (field, bool) {
+	for _, f := range fs {
+		if f.key == key {
+			return f.field, true
+		}
 	}
-	return ""
+	return field{}, false
 }
 
-func ipPort(v string) string {
-	host, _, err := net.SplitHostPort(v)
-	if err != nil || net.ParseIP(host) == nil {
-		return "not an IP number and port such as 10.0.0.1:8080"
+// checkAddresses refuses two listeners on one address.
+func (c *Config) checkAddresses(file string) error {
+	seen := map[string]string{}
+	for _, a := range [][2]string{{"ingress", c.Node.Ingress}, {"peer", c.Node.PeerAddr}, {"admin", c.Node.Admin}} {
+		if other, ok := seen[a[1]]; ok {
+			return settings.NewProblem(file, "node", a[0], a[1], "same address as "+other)
+		}
+		seen[a[1]] = a[0]
 	}
-	return ""
+	return nil
 }
 
-func ipPorts(v string) string {
-	for _, a := range splitList(v) {
-		if reason := ipPort(a); reason != "" {
-			return reason
+func (c *Config) operator(file, name string, s settings.Section) error {
+	if reason := nodeName(name); reason != "" {
+		return settings.NewProblem(file, s.Name, "", "", "operator name: "+reason)
+	}
+	o := Operator{Name: name}
+	for _, v := range s.Values {
+		var reason string
+		switch v.Key {
+		case "token_sha256":
+			o.TokenDigest, reason = strings.ToLower(v.Value), hexDigest(v.Value)
+			if reason != "" {
+				v.Value = "" // it may be the token itself
+			}
+		case "rights":
+			o.Rights, reason = splitList(v.Value), rights(v.Value)
+		default:
+			v.Value, reason = "", "unknown setting"
+		}
+		if reason != "" {
+			return settings.NewProblem(file, s.Name, v.Key, v.Value, reason)
 		}
 	}
-	return ""
-}
-
-func splitList(v string) []string {
-	var out []string
-	for _, s := range strings.Split(v, ",") {
-		if s = strings.TrimSpace(s); s != "" {
-			out = append(out, s)
+	switch {
+	case o.TokenDigest == "":
+		return settings.NewProblem(file, s.Name, "token_sha256", "", "setting is required")
+	case len(o.Rights) == 0:
+		return settings.NewProblem(file, s.Name, "rights", "", "setting is required")
+	}
+	for _, other := range c.Operators {
+		if other.Name == o.Name {
+			return settings.NewProblem(file, s.Name, "", "", "operator occurs twice")
+		}
+		if other.TokenDigest == o.TokenDigest {
+			return settings.NewProblem(file, s.Name, "token_sha256", o.TokenDigest, "same token as operator "+other.Name)
 		}
 	}
-	return out
+	c.Operators = append(c.Operators, o)
+	return nil
 }
--- a/internal/settings/sections.go
+++ b/internal/settings/sections.go
@@ -1,7 +1,9 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
+	"strings"
 
 	"gopkg.in/ini.v1"
 
@@ -65,6 +67,12 @@
 		AllowDuplicateShadowValues: true,
 		PreserveEmptyShadowValues:  true,
 	}, data)
+	var noDelimiter ini.ErrDelimiterNotFound
+	if errors.As(err, &noDelimiter) {
+		// Only the first word is quoted, because the rest may be a secret.
+		word, _, _ := strings.Cut(strings.TrimSpace(noDelimiter.Line), " ")
+		return nil, NewProblem(file, "", word, "", "line has no =")
+	}
 	if err != nil {
 		return nil, NewProblem(file, "", "", "", err.Error())
 	}
