--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -58,6 +58,13 @@
 // against each other. The problem returned is the first one in the order of
 // Sorted branches and of keys, so it is the same on every node.
 func (t *Tree) Validate(file string) error {
+	if err := t.checkValues(file); err != nil {
+		return err
+	}
+	return t.checkRoutes(file)
+}
+
+func (t *Tree) checkValues(file string) error {
 	for _, b := range t.Sorted() {
 		if b != Defaults {
 			if _, err := ParseBranch(b.String()); err != nil {
@@ -71,7 +78,7 @@
 			}
 		}
 	}
-	return t.checkRoutes(file)
+	return nil
 }
 
 // checkRoutes finds routes that lack a setting or have the same path.
@@ -108,3 +115,9 @@
 		cmp.Compare(a.Name, b.Name),
 	)
 }
+
+// CheckBranch checks the values of one branch by themselves, in the order of
+// their keys.
+func CheckBranch(file string, b Branch, values Values) error {
+	return TreeOf(map[Branch]Values{b: values}).checkValues(file)
+}
--- a/internal/settings/sections.go
+++ b/internal/settings/sections.go
@@ -43,7 +43,7 @@
 // NewProblem returns a problem in which workspace keys are replaced.
 func NewProblem(file, section, key, value, reason string) *Problem {
 	return &Problem{
-		File:    file,
+		File:    workspace.Redact(file),
 		Section: workspace.Redact(section),
 		Key:     workspace.Redact(key),
 		Value:   workspace.Redact(value),
--- a/internal/store/commit.go
+++ b/internal/store/commit.go
@@ -111,7 +111,7 @@
 	}
 	entry.Operation = c.operation
 	entry, err = c.log.Append(ctx, head, entry)
-	var invalid *invalidEntry
+	var invalid *InvalidEntry
 	switch {
 	case err == nil:
 		c.pending = false
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -124,7 +124,7 @@
 	e.Seq = head.Seq + 1
 	value, err := changelog.EncodeEntry(e)
 	if err != nil {
-		return e, &invalidEntry{err}
+		return e, &InvalidEntry{err}
 	}
 	seq := []byte(strconv.FormatInt(e.Seq, 10))
 	err = l.table.Commit(ctx, platform.Transaction{
@@ -144,11 +144,11 @@
 	return e, nil
 }
 
-// invalidEntry is an entry that cannot be stored. Nothing was sent.
-type invalidEntry struct{ error }
+// InvalidEntry is an entry that cannot be stored. Nothing was sent.
+type InvalidEntry struct{ error }
 
 // Unwrap returns the reason.
-func (e *invalidEntry) Unwrap() error { return e.error }
+func (e *InvalidEntry) Unwrap() error { return e.error }
 
 // Operation returns the sequence number that an operation was committed at, or
 // platform.ErrNotFound.
