--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -14,6 +14,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -57,13 +59,31 @@
 type process struct {
 	name string
 	cmd  *exec.Cmd
-	log  *bytes.Buffer
+	log  *output
 	done chan struct{}
 }
 
+// output collects what a process prints; it may be read while the process runs.
+type output struct {
+	mu   sync.Mutex
+	data bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.data.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.data.String()
+}
+
 func start(t *testing.T, name string, args ...string) *process {
 	t.Helper()
-	p := &process{name: name, cmd: exec.Command(binary, args...), log: &bytes.Buffer{}, done: make(chan struct{})}
+	p := &process{name: name, cmd: exec.Command(binary, args...), log: &output{}, done: make(chan struct{})}
 	p.cmd.Stdout = p.log
 	p.cmd.Stderr = p.log
 	if err := p.cmd.Start(); err != nil {
@@ -143,9 +163,16 @@
 	return f
 }
 
+// nextHost numbers the loopback addresses of this test process.
+var nextHost atomic.Int32
+
+// freeAddress returns an address on a loopback IP of its own. On a shared IP,
+// another test could take the port before the program under test opens it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n, pid := int(nextHost.Add(1)), os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.%d", 64+(pid>>8+n>>8)&63, pid&255, 1+n&127)
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -296,3 +323,25 @@
 	}
 	return runs[id]
 }
+
+// total returns how many calls a backend server has run.
+func (f *fleet) total(v *vm) int {
+	f.t.Helper()
+	resp, err := http.Get("http://" + v.worker + "/sample/total")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	var n int
+	if _, err := fmt.Fscan(resp.Body, &n); err != nil {
+		f.t.Fatal(err)
+	}
+	return n
+}
+
+func (f *fleet) setDown(down bool) {
+	f.t.Helper()
+	if err := f.platform.SetFaults(context.Background(), standin.Faults{Down: down}); err != nil {
+		f.t.Fatal(err)
+	}
+}
--- a/internal/processtest/path_test.go
+++ b/internal/processtest/path_test.go
@@ -29,7 +29,7 @@
 	f.t.Helper()
 	first := f.vms[0]
 	f.eventually("tree is accepted", func() bool {
-		status, err := f.admin(first, http.MethodPut, "/v1/tree", map[string]string{"ini": tree}, nil)
+		status, err := f.admin(first, http.MethodPost, "/v1/tree/edit", map[string]any{"base": 0, "ini": tree}, nil)
 		return err == nil && status == http.StatusOK
 	})
 	var issued struct{ Key string }
