Find silent connections to the backend server; refund tokens by the token taken

A call that takes far longer than typical is probed over a new connection. If that answers and the call is idempotent, it goes on over a new connection, once.

--- a/internal/guard/backend.go
+++ b/internal/guard/backend.go
@@ -97,12 +97,45 @@
 	return a != nil && a.Service == service && !a.lost.Load() && time.Since(a.received) < announcementTimeout
 }
 
-// do sends a call to the backend server and reads its answer.
-func (b *Backend) do(ctx context.Context, c *call.Call, token string) (*call.Response, Result) {
+// do sends a call to the backend server and reads its answer. An idempotent call
+// whose connection has gone silent is sent again, once, over a new connection.
+func (b *Backend) do(ctx context.Context, c *call.Call, token string, silence silenceRule) (*call.Response, Result) {
 	a := b.current.Load()
 	if a == nil {
 		return call.Refused(request.Refuse(request.ReasonNoBackend, time.Second)), Result{NotSent: true}
 	}
+	var silent atomic.Bool
+	attempt, giveUp := context.WithCancel(ctx)
+	if c.Idempotent {
+		watch := time.AfterFunc(silence.after, func() {
+			if silence.applies() && a.answersProbe(ctx) {
+				silent.Store(true)
+				giveUp()
+			}
+		})
+		defer watch.Stop()
+	}
+	resp, result := b.send(attempt, a, c, token)
+	if !silent.Load() || resp.Refusal == nil || ctx.Err() != nil {
+		return endWith(resp, giveUp), result
+	}
+	giveUp()
+	// Idle connections may have been lost the same way.
+	a.client.CloseIdleConnections()
+	return b.send(ctx, a, c, token)
+}
+
+// endWith calls end when the response has been read.
+func endWith(resp *call.Response, end func()) *call.Response {
+	if resp.Rest == nil {
+		end()
+		return resp
+	}
+	resp.Rest = &closer{ReadCloser: resp.Rest, onClose: end}
+	return resp
+}
+
+func (b *Backend) send(ctx context.Context, a *announced, c *call.Call, token string) (*call.Response, Result) {
 	trace := &sendTrace{}
 	req, err := http.NewRequestWithContext(trace.with(ctx), c.Method, "http://"+a.Address+c.URI, call.Body(c.Body))
 	if err != nil {
@@ -117,11 +150,15 @@
 		}
 		return failure(ctx, trace)
 	}
-	out := &call.Response{Status: resp.StatusCode, Header: call.WithoutOwn(resp.Header)}
+	return b.read(ctx, a, resp)
+}
+
+func (b *Backend) read(ctx context.Context, a *announced, resp *http.Response) (*call.Response, Result) {
 	if resp.Header.Get(request.HeaderOutcome) == request.NotRun.String() {
 		resp.Body.Close()
 		return call.Refused(request.Refuse(request.ReasonOverload, retryAfter(resp.Header))), Result{Shed: true}
 	}
+	out := &call.Response{Status: resp.StatusCode, Header: call.WithoutOwn(resp.Header)}
 	if err := out.Fill(resp); err != nil {
 		if ctx.Err() == nil {
 			b.suspect(a, err)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -34,6 +34,8 @@
 	Acquire(ctx context.Context, c *call.Call) (release func(Result), refusal *request.Refusal)
 	// Load returns the figures that ride on responses.
 	Load() call.Load
+	// ServiceTime returns the typical time of a call at the backend server.
+	ServiceTime() time.Duration
 }
 
 // Result is how a call to the backend server ended.
@@ -53,10 +55,9 @@
 
 // RateTokens enforces the fleet-wide rate of workspaces.
 type RateTokens interface {
-	// Take takes one token of the workspace or refuses.
-	Take(ctx context.Context, workspace string) *request.Refusal
-	// Refund returns a token of a call that is known not to have run.
-	Refund(workspace string)
+	// Take takes one token of the workspace or refuses. refund gives the token
+	// back; it is called only if the call is known not to have run.
+	Take(ctx context.Context, workspace string) (refund func(), refusal *request.Refusal)
 }
 
 // Claims makes calls that may not be repeated run at most once.
@@ -218,14 +219,15 @@
 	if refusal != nil {
 		return unused(c, *refusal), notSent
 	}
-	if refusal := g.takeToken(ctx, c); refusal != nil {
+	refund, refusal := g.takeToken(ctx, c)
+	if refusal != nil {
 		claim.Release()
 		return unused(c, *refusal), notSent
 	}
 	finish, refusal := g.parts.Quarantine.Start(c)
 	if refusal != nil {
 		claim.Release()
-		g.refundToken(c)
+		refund()
 		return unused(c, *refusal), notSent
 	}
 	if !claim.Start() {
@@ -237,7 +239,7 @@
 	finish(resp.Refusal == nil)
 	if resp.Refusal != nil && resp.Refusal.Outcome == request.NotRun {
 		claim.Release()
-		g.refundToken(c)
+		refund()
 	}
 	return resp, result
 }
@@ -258,22 +260,16 @@
 
 // takeToken charges a root call to its workspace. Nested calls are part of
 // their root and are not charged again.
-func (g *Guard) takeToken(ctx context.Context, c *call.Call) *request.Refusal {
+func (g *Guard) takeToken(ctx context.Context, c *call.Call) (refund func(), refusal *request.Refusal) {
 	if c.Depth > 0 {
-		return nil
+		return func() {}, nil
 	}
 	return g.parts.Rate.Take(ctx, c.Workspace)
 }
 
-func (g *Guard) refundToken(c *call.Call) {
-	if c.Depth == 0 {
-		g.parts.Rate.Refund(c.Workspace)
-	}
-}
-
 func (g *Guard) send(ctx context.Context, c *call.Call) (*call.Response, Result) {
 	entry := g.running.start(ctx, c)
-	resp, result := g.backend.do(ctx, c, entry.Token)
+	resp, result := g.backend.do(ctx, c, entry.Token, g.silenceRule(c))
 	resp.BudgetUnused = g.running.finish(entry)
 	return resp, result
 }
--- a/internal/guard/limiter.go
+++ b/internal/guard/limiter.go
@@ -164,3 +164,6 @@
 
 // Load implements Limiter.
 func (l *AdmissionLimiter) Load() call.Load { return l.encode(l.Figures()) }
+
+// ServiceTime implements Limiter.
+func (l *AdmissionLimiter) ServiceTime() time.Duration { return l.Figures().ServiceTime }
--- a/internal/guard/open.go
+++ b/internal/guard/open.go
@@ -11,10 +11,7 @@
 type Open struct{}
 
 // Take implements RateTokens.
-func (Open) Take(context.Context, string) *request.Refusal { return nil }
-
-// Refund implements RateTokens.
-func (Open) Refund(string) {}
+func (Open) Take(context.Context, string) (func(), *request.Refusal) { return func() {}, nil }
 
 // Acquire implements Claims.
 func (Open) Acquire(context.Context, request.ID) (Claim, *request.Refusal) {
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -23,6 +23,7 @@
 	request.ReasonNodeStale:        true,
 	request.ReasonWrongIncarnation: true,
 	request.ReasonBadAnswer:        true,
+	request.ReasonShareUnavailable: true,
 }
 
 // attempts sends the call to one guard after another, within the retry budget.
--- a/internal/ingress/services.go
+++ b/internal/ingress/services.go
@@ -157,6 +157,7 @@
 	request.ReasonBackendLost:      true,
 	request.ReasonNodeStale:        true,
 	request.ReasonWrongIncarnation: true,
+	request.ReasonShareUnavailable: true,
 }
 
 // next decides about one more attempt after a refusal.
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -51,6 +51,7 @@
 	ReasonKeyRevoked       Reason = "key_revoked"
 	ReasonRouteForbidden   Reason = "route_forbidden"
 	ReasonOverShare        Reason = "over_share"
+	ReasonShareUnavailable Reason = "share_unavailable"
 	ReasonOverload         Reason = "overload"
 	ReasonDownstream       Reason = "downstream_overload"
 	ReasonDeadline         Reason = "deadline"
