--- a/cmd/teaselseam/tree.go
+++ b/cmd/teaselseam/tree.go
@@ -165,7 +165,7 @@
 		return err
 	}
 	return p.print(out, func() {
-		fmt.Fprintf(p.out, "ok: changes %d branches of revision %d\n", len(out.Changes), out.Revision)
+		fmt.Fprintf(p.out, "ok: revision %d, branches that would change: %d\n", out.Revision, len(out.Changes))
 	})
 }
 
