Test the answer to a change whose outcome is unknown

The table takes reads and answers no write. An edit is answered with its operation ID and takes effect once when it is sent again; a key whose issue is uncertain is not shown.

--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -22,6 +22,7 @@
 	"github.com/teaselseam/teaselseam/internal/config"
 	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/membership"
+	"github.com/teaselseam/teaselseam/internal/platform"
 	"github.com/teaselseam/teaselseam/internal/platform/standin"
 	"github.com/teaselseam/teaselseam/internal/settings"
 	"github.com/teaselseam/teaselseam/internal/store"
@@ -358,3 +359,40 @@
 		t.Error("key was not revoked")
 	}
 }
+
+// silentTable takes reads, and answers no write.
+type silentTable struct {
+	*standin.Memory
+	healthy bool
+}
+
+func (s *silentTable) Commit(ctx context.Context, tx platform.Transaction) error {
+	if !s.healthy {
+		return context.DeadlineExceeded
+	}
+	return s.Memory.Commit(ctx, tx)
+}
+
+// TestUnknownOutcome guards against an edit that is reported as failed although
+// it may take effect, and against a key that is shown although it may not be
+// issued.
+func TestUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		table := &silentTable{Memory: f.table}
+		f.api.changes = store.NewLog(table)
+		var e, k Error
+		if status := f.edit(0, "op", "[workspace a]\n", &e); status != http.StatusGatewayTimeout || e.Code != CodeUnknownOutcome || e.Operation != "op" {
+			t.Errorf("got %d %+v", status, e)
+		}
+		f.call("keys", "POST", "/v1/keys", IssueRequest{Workspace: "a"}, &k)
+		if k.Code != CodeUnknownOutcome || k.Operation == "" || strings.Contains(f.seen.String(), "tsk_") {
+			t.Errorf("got %+v", k)
+		}
+		table.healthy = true
+		var out ChangeResponse
+		if f.edit(0, "op", "[workspace a]\n", &out); out.Outcome != OutcomeAccepted || out.Seq != 1 {
+			t.Errorf("asked again: got %+v", out)
+		}
+	})
+}
