--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,7 +80,7 @@
 		Started:     time.Now(),
 	}
 	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds), metrics: obs.NewMetrics()}
-	log2 := store.NewLog(st)
+	log2 := store.NewLog(st, store.WithSnapshots(st, store.DefaultSnapshotEvery))
 	n.control = control.New(log, self, log2, n.pool, cfg.Peer.Seeds)
 	n.backend = guard.NewBackend(guard.Events{Announced: n.backendAnnounced, Lost: n.backendLost})
 	n.limiter = guard.NewAdmissionLimiter(n.weight, func(admission.Load) call.Load { return call.Load{} })
@@ -92,6 +92,7 @@
 	})
 	forward := ingress.NewForwarder(log, n.pool.HTTP())
 	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NoPressure{}, n.metrics)
+	n.registerMetrics()
 	return n, n.listen(creds, log2)
 }
 
