--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 generate:
 	go generate ./...
+
+capacity: build
+	go run ./cmd/capacity
