--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -143,7 +143,7 @@
 // Serve runs a call or refuses it. The context ends when the caller goes away.
 func (g *Guard) Serve(ctx context.Context, c *call.Call) *call.Response {
 	resp := g.serve(ctx, c)
-	resp.Load = g.parts.Limiter.Load()
+	resp.Load = g.load(c, resp.Load.Hints)
 	resp.Draining = g.backend.Draining() || g.isDraining()
 	return resp
 }
@@ -271,6 +271,7 @@
 	entry := g.running.start(ctx, c)
 	resp, result := g.backend.do(ctx, c, entry.Token, g.silenceRule(c))
 	resp.BudgetUnused = g.running.finish(entry)
+	resp.Load.Hints = entry.gathered()
 	return resp, result
 }
 
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/retry"
 )
 
@@ -21,6 +22,7 @@
 
 	mu     sync.Mutex
 	budget *retry.Budget
+	hints  []pressure.Hint // of nested calls
 }
 
 // Running are the calls that the backend server runs now, by token. It is safe
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -43,23 +43,24 @@
 		}
 		mayHaveRun = mayHaveRun || resp.Refusal.Outcome != request.NotRun
 		if endpoint == "" || !elsewhere[resp.Refusal.Reason] {
-			return final(resp.Refusal, mayHaveRun, budget.Close())
+			return final(resp, mayHaveRun, budget.Close())
 		}
 		delay, again := svc.next(time.Now(), c, resp.Refusal, n, budget)
 		if !again || !wait(ctx, delay) {
-			return final(resp.Refusal, mayHaveRun, budget.Close())
+			return final(resp, mayHaveRun, budget.Close())
 		}
 	}
 }
 
 // final is the refusal after the last attempt. It says not run only if no
 // attempt may have run.
-func final(r *request.Refusal, mayHaveRun bool, unusedBudget int) *call.Response {
-	out := *r
+func final(last *call.Response, mayHaveRun bool, unusedBudget int) *call.Response {
+	out := *last.Refusal
 	if mayHaveRun {
 		out.Outcome = request.MayHaveRun
 	}
 	resp := call.Refused(out)
+	resp.Load = last.Load
 	resp.BudgetUnused = unusedBudget
 	return resp
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -121,6 +121,9 @@
 	}
 	resp := in.attempts(ctx, c)
 	giveBack(resp.BudgetUnused)
+	if parent != nil {
+		parent.Learn(resp.Load.Hints)
+	}
 	if resp.Rest == nil {
 		cancel()
 	} else {
--- a/internal/ingress/services.go
+++ b/internal/ingress/services.go
@@ -8,6 +8,7 @@
 	"github.com/teaselseam/teaselseam/internal/call"
 	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/membership"
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/retry"
 	"github.com/teaselseam/teaselseam/internal/routing"
@@ -143,7 +144,13 @@
 }
 
 // reportOf reads the load figures of a response.
-func reportOf(call.Load) *routing.Report { return nil }
+func reportOf(l call.Load) *routing.Report {
+	figures, err := pressure.ParseLoad(l.Encoded)
+	if err != nil {
+		return nil // absent, or a peer's malformed figures
+	}
+	return &routing.Report{Limit: figures.Limit, QueueWait: figures.Wait, ServiceTime: figures.ServiceTime}
+}
 
 // redirects lists the reasons of calls that cost their guard next to nothing,
 // because it is gone, leaving or not able to serve. Sending such a call
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/teaselseam/teaselseam/internal/peer"
 	"github.com/teaselseam/teaselseam/internal/peerpb"
 	"github.com/teaselseam/teaselseam/internal/platform"
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/store"
 )
 
@@ -83,7 +84,7 @@
 	log2 := store.NewLog(st, store.WithSnapshots(st, store.DefaultSnapshotEvery))
 	n.control = control.New(log, self, log2, n.pool, cfg.Peer.Seeds)
 	n.backend = guard.NewBackend(guard.Events{Announced: n.backendAnnounced, Lost: n.backendLost})
-	n.limiter = guard.NewAdmissionLimiter(n.weight, func(admission.Load) call.Load { return call.Load{} })
+	n.limiter = guard.NewAdmissionLimiter(n.weight, encodeLoad)
 	n.guard = guard.New(log, self.Incarnation, n.control, n.backend, guard.Parts{
 		Limiter:    n.limiter,
 		Rate:       guard.Open{},
@@ -91,7 +92,7 @@
 		Quarantine: guard.Open{},
 	})
 	forward := ingress.NewForwarder(log, n.pool.HTTP())
-	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NoPressure{}, n.metrics)
+	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NewPressureTable(n.weight), n.metrics)
 	n.registerMetrics()
 	return n, n.listen(creds, log2)
 }
@@ -180,6 +181,15 @@
 	return 1
 }
 
+// encodeLoad puts a guard's figures into the form in which they ride on
+// responses.
+func encodeLoad(l admission.Load) call.Load {
+	return call.Load{Encoded: pressure.EncodeLoad(pressure.Load{
+		Limit: l.Limit, Running: l.Running, Queued: l.Queued, Wait: l.Wait,
+		ServiceTime: l.ServiceTime, ShedLevel: l.ShedLevel, AcceptRatio: l.AcceptRatio,
+	})}
+}
+
 // backendAnnounced passes on what a backend server says about its load.
 func (n *Node) backendAnnounced(a control.Announcement, fresh bool) {
 	if fresh {
