Size prefetch by the time in which the burst is refilled

A fixed 40 ms ahead made one borrow for 1.25 to 1.6 calls. The lender now tells borrowers how far ahead to hold demand: a fifth of the time in which the burst is refilled, between 40 and 250 ms.

A directed case shows that a lender that uses a larger part at once exceeds the limit while a data centre that left the ring still lends.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,12 +26,13 @@
 	lots      []lot // by sequence
 	waiting   bool  // for the answer to the request with number sequence
 	sequence  uint64
-	sent      time.Time // when that request was sent
-	asking    int64     // tokens wanted by that request, zero once it is answered
-	changed   bool      // there is something to report
-	notBefore time.Time // of the next request that wants tokens
-	suspect   bool      // the last request failed; no tokens are asked for until one is answered
-	failing   time.Time // no request is made before this time
+	sent      time.Time     // when that request was sent
+	asking    int64         // tokens wanted by that request, zero once it is answered
+	changed   bool          // there is something to report
+	notBefore time.Time     // of the next request that wants tokens
+	ahead     time.Duration // Ahead of the newest answer that had one
+	suspect   bool          // the last request failed; no tokens are asked for until one is answered
+	failing   time.Time     // no request is made before this time
 }
 
 // lot is what became of a granted request.
@@ -132,6 +134,7 @@
 		a.failing = now.Add(failureBackoff)
 		return true
 	}
+	a.ahead = cmp.Or(g.Ahead, a.ahead)
 	kept := a.lots[:0]
 	for _, l := range a.lots {
 		if !l.final { // the lender has applied the report
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -7,10 +7,6 @@
 	"github.com/teaselseam/teaselseam/internal/ring"
 )
 
-// horizon is the time whose demand a borrower holds ahead. It covers two round
-// trips between data centres and the delay of the owner's loop.
-const horizon = 40 * time.Millisecond
-
 // BorrowerConfig configures a Borrower.
 type BorrowerConfig struct {
 	Workspace  string
@@ -102,7 +98,7 @@
 // or a token is held.
 func (b *Borrower) Need(now time.Time) (Borrow, bool) {
 	asked := b.asked(now)
-	want := b.want(now)
+	want := b.want(now, asked)
 	for i, a := range b.accounts {
 		a.expire(now)
 		ask := int64(0)
@@ -133,12 +129,15 @@
 
 // want returns the number of tokens to ask for. It is zero while the borrower
 // holds half of what it wants to hold.
-func (b *Borrower) want(now time.Time) int64 {
+func (b *Borrower) want(now time.Time, asked int) int64 {
+	if asked < 0 {
+		return 0
+	}
 	held := int64(0)
 	for _, a := range b.accounts {
 		held += a.held(now)
 	}
-	target := b.demand.at(now) * horizon.Seconds()
+	target := b.demand.at(now) * max(b.accounts[asked].ahead, minAhead).Seconds()
 	if b.waiting == 0 && float64(held) >= target/2 {
 		return 0
 	}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -12,6 +12,13 @@
 const settleWait = ring.FreshnessBound + Life
 
 const (
+	// minAhead covers two round trips between data centres and the delay of the
+	// owner's loop.
+	minAhead = 40 * time.Millisecond
+	// maxAhead is well below Life, so that most tokens are used before they expire.
+	maxAhead = 250 * time.Millisecond
+	// aheadShare is the share of the burst that may be held at borrowers at full rate.
+	aheadShare = 0.2
 	// sweepInterval is how often expired loans are looked for.
 	sweepInterval = 10 * time.Millisecond
 	// idleBorrower is how long a borrower without loans is remembered.
@@ -264,7 +271,7 @@
 }
 
 func (l *Lender) grant(now time.Time, d *debtor, r Borrow) Grant {
-	g := Grant{Sequence: r.Sequence, Life: Life}
+	g := Grant{Sequence: r.Sequence, Life: Life, Ahead: l.ahead()}
 	switch {
 	case l.state == closed:
 		return Grant{Sequence: r.Sequence, NotLender: true}
@@ -303,11 +310,22 @@
 	}
 	level := l.level
 	if relay {
-		level -= l.localDemand(now) * horizon.Seconds()
+		level -= l.localDemand(now) * l.ahead().Seconds()
 	}
 	return max(0, int64(level))
 }
 
+// ahead returns the time whose demand borrowers should hold. Tokens held at one
+// node are missing at the others, so it is a fraction of the time in which the
+// burst is refilled.
+func (l *Lender) ahead() time.Duration {
+	if l.part.Rate <= 0 {
+		return minAhead
+	}
+	refill := l.part.Burst / l.part.Rate * aheadShare
+	return max(minAhead, time.Duration(min(refill, maxAhead.Seconds())*float64(time.Second)))
+}
+
 // localDemand returns the demand of the own data centre in tokens per second.
 func (l *Lender) localDemand(now time.Time) (sum float64) {
 	for _, d := range l.borrowers {
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -43,6 +43,7 @@
 	Granted    int64         // tokens
 	Life       time.Duration // validity from the time the request was sent
 	RetryAfter time.Duration // when to ask again if fewer tokens than wanted were granted
+	Ahead      time.Duration // time whose demand the borrower should hold; zero leaves it as it is
 	NotLender  bool          // the receiver does not lend for the workspace
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -124,6 +124,14 @@
 			splitRing(s)
 			overload(s, 10*time.Second)
 		}},
+		"larger part while other data centres still have theirs": {Limit{200, 160}, faults{newPartOnly: true}, func(s *sim) {
+			for i := range s.nodes { // two data centres leave the ring and do not hear of it
+				s.nodes[i].deaf = s.nodes[i].centre() >= 2
+			}
+			s.change(s.ideal.limit, 0, 2)
+			s.run(time.Second)
+			overload(s, 10*time.Second)
+		}},
 		"new lender that starts with a full bucket": {Limit{20, 800}, faults{fullStart: true}, func(s *sim) {
 			overload(s, 30*time.Second)
 			s.restart(0)
--- a/internal/quota/relay.go
+++ b/internal/quota/relay.go
@@ -56,9 +56,9 @@
 	if l.state == closed {
 		return 0
 	}
-	need := l.localDemand(now)*horizon.Seconds() - l.level
+	need := math.Floor(l.localDemand(now)*l.ahead().Seconds()) - l.level
 	for _, d := range l.borrowers {
-		if !d.relay && now.Sub(d.seen) < horizon {
+		if !d.relay && now.Sub(d.seen) < minAhead {
 			need += float64(d.short)
 		}
 	}
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -25,6 +25,7 @@
 	noFreshness     bool          // lenders lend although their node is not fresh
 	noExpiry        bool          // lenders drop loans at once
 	fullStart       bool          // lenders start with a full bucket
+	newPartOnly     bool          // lenders use a larger part at once
 }
 
 // layoutChange is a change log entry: the limit and the lender of each data centre.
@@ -219,6 +220,9 @@
 		s.at(0, n.index, s.tickLender)
 	case c.lenders[dc] == n.id():
 		n.lender.Layout(s.now, seq, part)
+		if s.faults.newPartOnly {
+			n.lender.layouts = n.lender.layouts[len(n.lender.layouts)-1:]
+		}
 	case n.lender != nil && n.lender.state != closed:
 		to := c.lenders[dc]
 		if h, ok := n.lender.Close(s.now, seq, to.Incarnation); ok && to.Node != "" {
