--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,4 +1,3 @@
-// Package membership tracks which nodes are part of the fleet.
 package membership
 
 import "time"
@@ -32,3 +31,22 @@
 	MaxConnections int   // that the backend server accepts; 0 means unknown
 	AppliedSeq     int64 // newest change log entry in force
 }
+
+// supersedes reports whether a is a later incarnation of a node than b.
+func (a *Member) supersedes(b *Member) bool {
+	if !a.Started.Equal(b.Started) {
+		return a.Started.After(b.Started)
+	}
+	return a.Incarnation > b.Incarnation
+}
+
+// overrides reports whether news about the same incarnation replaces old.
+func (a *Member) overrides(old *Member) bool {
+	if old.Status == Left {
+		return false
+	}
+	if a.Version != old.Version {
+		return a.Version > old.Version
+	}
+	return a.Status > old.Status
+}
