Test freshness against random histories and strengthen its rules

Rapid histories with splits through data centres found three ways in which a fresh node lacked a settled revocation: a node without a member table took itself for a majority; members of a data centre that came back let a settling node leave out others at once; and a node vouched as soon as a lost majority returned, before its entries had spread. Each has a rule now, in the package comment. Partners are fixed places on a ring, so that exchanges reuse connections.

--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -68,18 +68,27 @@
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
 	for _, p := range []struct{ field, value *time.Duration }{
-		{&c.Interval, &d.Interval}, {&c.Suspicion, &d.Suspicion}, {&c.Bound, &d.Bound},
-		{&c.JoinSettle, &d.JoinSettle}, {&c.DeadGrace, &d.DeadGrace}, {&c.DeadRetry, &d.DeadRetry},
-		{&c.SeedRetry, &d.SeedRetry}, {&c.ForgetDead, &d.ForgetDead}, {&c.ForgetLeft, &d.ForgetLeft},
-		{&c.FullAfter, &d.FullAfter}, {&c.FullEvery, &d.FullEvery},
+		{&c.Interval, &d.Interval},
+		{&c.Suspicion, &d.Suspicion},
+		{&c.Bound, &d.Bound},
+		{&c.JoinSettle, &d.JoinSettle},
+		{&c.DeadGrace, &d.DeadGrace},
+		{&c.DeadRetry, &d.DeadRetry},
+		{&c.SeedRetry, &d.SeedRetry},
+		{&c.ForgetDead, &d.ForgetDead},
+		{&c.ForgetLeft, &d.ForgetLeft},
+		{&c.FullAfter, &d.FullAfter},
+		{&c.FullEvery, &d.FullEvery},
 	} {
 		if *p.field == 0 {
 			*p.field = *p.value
 		}
 	}
 	for _, p := range []struct{ field, value *int }{
-		{&c.IndirectProbes, &d.IndirectProbes}, {&c.MaxDeltas, &d.MaxDeltas},
-		{&c.MaxFull, &d.MaxFull}, {&c.MaxRevocations, &d.MaxRevocations},
+		{&c.IndirectProbes, &d.IndirectProbes},
+		{&c.MaxDeltas, &d.MaxDeltas},
+		{&c.MaxFull, &d.MaxFull},
+		{&c.MaxRevocations, &d.MaxRevocations},
 	} {
 		if *p.field == 0 {
 			*p.field = *p.value
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -33,14 +33,18 @@
 //     plus Config.DeadGrace is longer than the bound, so a member in contact
 //     within the bound cannot have been left out of a settlement as dead.
 //   - A node vouches only while more than half of the members of its data centre,
-//     dead ones included until they are forgotten, are not dead to it; of two equal
-//     halves, the one with the lowest name. A data centre counts as settled only if
+//     dead ones included until they are forgotten, have not been dead to it for
+//     Config.JoinSettle; of two equal halves, the one with the lowest name. A data centre counts as settled only if
 //     members of such a majority acknowledged, and each member not dead for
-//     longer than Config.DeadGrace did. Otherwise a partition that runs through all
+//     longer than Config.DeadGrace did. The grace starts again when a member of the
+//     data centre comes back or joins, because that member may have been in contact
+//     with the dead one until then. Otherwise a partition that runs through all
 //     data centres would leave both sides with "all live members" and fresh.
 //   - A node's own data centre counts only through another node that vouches for
 //     it. If it knows of no other, it counts by itself, but not before the node has
-//     learned the state from elsewhere and, if it has seeds, has reached one.
+//     learned the state from elsewhere.
+//   - Until a node that has seeds has received a member table, it does not know how
+//     many data centres there are: it counts no majority and settles nothing.
 //   - Dead members are forgotten only by a node that has evidence for more than
 //     half of the data centres. A side that was cut off does not become a majority
 //     by forgetting the others.
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -30,6 +30,7 @@
 	caughtUp     bool
 	contact      time.Time // newest contact with another member of the own data centre
 	contactSince time.Time // since when contact has never been older than the bound
+	mostSince    time.Time // since when most of the own data centre has not been dead
 }
 
 // response waits until the entries that its sender knew have been applied.
@@ -150,18 +151,31 @@
 // vouches reports whether the node may speak for its data centre; the package
 // comment gives the reasons.
 func (s *State) vouches(now time.Time) bool {
-	if !s.caughtUp || s.superseded || s.self.Status == Left {
+	if !s.caughtUp || !s.joined || s.superseded || s.self.Status == Left {
 		return false
 	}
 	if s.view().others[s.self.DataCentre] == 0 {
-		return s.joined
+		return true
 	}
 	if age(now, s.contact) > s.cfg.Bound || now.Sub(s.contactSince) < s.cfg.JoinSettle {
 		return false
 	}
-	return s.mostOf(s.self.DataCentre, func(id string) bool {
+	return s.holdsMost(now) && now.Sub(s.mostSince) >= s.cfg.JoinSettle
+}
+
+// holdsMost reports whether most of the own data centre is not dead, and notes
+// since when. Members that come back may bring entries with them, and those must
+// spread before the node vouches again.
+func (s *State) holdsMost(now time.Time) bool {
+	most := s.mostOf(s.self.DataCentre, func(id string) bool {
 		return id == s.self.ID || s.members[id].Status < Dead
 	})
+	if !most {
+		s.mostSince = time.Time{}
+	} else if s.mostSince.IsZero() {
+		s.mostSince = now
+	}
+	return most
 }
 
 // mostOf reports whether the chosen members of a data centre are more than half
@@ -227,13 +241,17 @@
 func (s *State) majority(now time.Time) bool { return age(now, s.majorityFrom(now)) < s.cfg.Bound }
 
 // majorityFrom returns the time since which information from more than half of
-// the data centres has arrived.
+// the data centres has arrived. Before the node has a member table, it does not
+// know how many data centres there are.
 func (s *State) majorityFrom(now time.Time) time.Time {
+	if !s.joined {
+		return time.Time{}
+	}
 	v := s.view()
 	times := make([]time.Time, 0, len(v.dcs))
 	for _, dc := range v.dcs {
 		t := s.evidence[dc]
-		if dc == s.self.DataCentre && v.others[dc] == 0 && s.caughtUp && (s.joined || len(s.cfg.Seeds) == 0) {
+		if dc == s.self.DataCentre && v.others[dc] == 0 && s.caughtUp {
 			t = now
 		}
 		times = append(times, t)
@@ -267,7 +285,8 @@
 	missing := map[string]bool{}
 	for _, id := range v.ids {
 		r := s.members[id]
-		gone := r.Status == Left || r.Status == Dead && now.Sub(r.since) > s.cfg.DeadGrace
+		gone := r.Status == Left || r.Status == Dead &&
+			now.Sub(r.since) > s.cfg.DeadGrace && now.Sub(s.appeared[r.DataCentre]) > s.cfg.DeadGrace
 		if !gone && !has(id) {
 			missing[r.DataCentre] = true
 		}
@@ -277,5 +296,5 @@
 			dcs = append(dcs, dc)
 		}
 	}
-	return dcs, 2*len(dcs) > len(v.dcs)
+	return dcs, s.joined && 2*len(dcs) > len(v.dcs)
 }
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -38,7 +38,6 @@
 // Handle takes a peer's request and returns the response. Evidence in a request
 // does not count, because the time at which it was sent is unknown.
 func (s *State) Handle(now time.Time, e Exchange) Exchange {
-	s.joined = true
 	s.mergeAll(now, e)
 	if !e.Full {
 		out := s.exchange(now, e.Self.ID, e.Members)
@@ -63,8 +62,6 @@
 // Answer takes the response to a request that was sent at the given time to a
 // peer, by ID; the ID is empty for a seed.
 func (s *State) Answer(sent, now time.Time, peer string, e Exchange) {
-	first := !s.joined
-	s.joined = true
 	if r, ok := s.members[e.Self.ID]; ok && r.Status == Dead && now.Sub(s.lastFull) > s.cfg.FullEvery {
 		s.fullDue = true // the other side of a healed partition
 	}
@@ -72,6 +69,8 @@
 	if e.Full {
 		s.lastFull = now
 		s.fullDue = false
+		first := !s.joined
+		s.joined = true
 		s.differed = time.Time{}
 		if first {
 			s.queue = nil // others know these already
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -21,6 +21,19 @@
 	}
 }
 
+// TestNaiveDeathFlaps shows that the test above can fail: without suspicion, the
+// same losses take running members for dead.
+func TestNaiveDeathFlaps(t *testing.T) {
+	n := newNetwork(7, 4, 3, Config{Suspicion: 1})
+	n.run(40*time.Second, nil)
+	n.loss, n.repeat = 0.2, 0.1
+	dead := 0
+	n.run(5*time.Minute, func() { dead += n.deadTo() })
+	if dead == 0 {
+		t.Error("no running member was taken for dead")
+	}
+}
+
 // TestDataCentreGone guards against a fleet that does not notice, or does not
 // take back, a data centre that fails as a whole.
 func TestDataCentreGone(t *testing.T) {
--- a/internal/membership/network_test.go
+++ b/internal/membership/network_test.go
@@ -20,8 +20,8 @@
 	skew   time.Duration
 	late   []func() // delayed duplicates
 	log    map[int64]Digest
-	side   int // nodes on different sides cannot reach each other
-	bytes  int
+	side   int       // nodes on different sides cannot reach each other
+	heard  time.Time // newest response
 	events map[Status]int
 }
 
@@ -34,7 +34,7 @@
 	byAddr map[string]*fakeNode
 	loss   float64
 	repeat float64
-	naive  bool // see naive_test.go
+	tamper func(*Exchange) // changes each response; used by naive versions
 }
 
 func newNetwork(seed uint64, dcs, perDC int, cfg Config) *network {
@@ -114,7 +114,11 @@
 		n.failed(f, a)
 		return
 	}
+	if n.tamper != nil {
+		n.tamper(&resp)
+	}
 	f.Answer(sent, n.clock(f), a.Peer.ID, resp)
+	f.heard = sent
 	if n.rnd.Float64() < n.repeat {
 		f.late = append(f.late, func() { f.Answer(sent, n.clock(f), a.Peer.ID, resp) })
 	}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -20,11 +20,15 @@
 	filler     int                // position of the round through the table
 	cached     *view
 
+	// appeared is when a member of a data centre last became alive that was dead
+	// or unknown.
+	appeared map[string]time.Time
+
 	timers   timers
 	round    []string // rest of the shuffled round through the own data centre
 	doubted  []string // members with misses that are not suspected yet
 	nextDC   int      // position of the round through the other data centres
-	joined   bool     // has exchanged with another node
+	joined   bool     // has received a member table, or has no seeds to get it from
 	fullDue  bool
 	fullSent time.Time
 	differed time.Time // since when digests have differed; zero if they agree
@@ -41,7 +45,7 @@
 	// misses counts the failed rounds of probes, direct and indirect, since the last
 	// response.
 	misses int
-	hash  uint64
+	hash   uint64
 }
 
 // view is derived from the records and rebuilt after a change.
@@ -49,7 +53,9 @@
 	ids     []string // all others, sorted
 	dcs     []string // data centres, sorted, own included
 	live    map[string][]string
-	others  map[string]int // members other than self that have not left
+	near    []string          // partners in the own data centre
+	far     map[string]string // partner in each other data centre
+	others  map[string]int    // members other than self that have not left
 	dead    []string
 	suspect []string
 	alive   int // self included
@@ -68,6 +74,8 @@
 		addresses: map[string]string{},
 		digest:    hashOf(&self),
 		timers:    timers{local: now, remote: now, dead: now, seed: now, suspect: now},
+		appeared:  map[string]time.Time{},
+		joined:    len(cfg.Seeds) == 0,
 		fullDue:   true,
 		knowledge: newKnowledge(),
 	}
@@ -212,6 +220,9 @@
 			delete(s.addresses, r.PeerAddress)
 		}
 	}
+	if m.Status < Dead && (r.Status == 0 || r.Status >= Dead) {
+		s.appeared[m.DataCentre] = now
+	}
 	if r.Status != m.Status || r.Incarnation != m.Incarnation {
 		r.since = now
 		r.misses = 0
@@ -275,6 +286,7 @@
 	}
 	v.dcs = append(v.dcs, s.self.DataCentre)
 	slices.Sort(v.dcs)
+	s.choosePartners(v)
 	s.cached = v
 	return v
 }
--- a/internal/membership/tick.go
+++ b/internal/membership/tick.go
@@ -32,6 +32,7 @@
 // due. It is called several times per interval.
 func (s *State) Tick(now time.Time, rnd *rand.Rand) []Action {
 	s.expire(now)
+	s.holdsMost(now)
 	s.noteFresh(now)
 	if s.self.Status == Left {
 		return nil
@@ -42,7 +43,7 @@
 		out = s.addExchange(now, out, s.nextLocal(v, rnd))
 	}
 	if due(&s.timers.remote, now, s.cfg.Interval, rnd) {
-		out = s.addExchange(now, out, s.nextRemote(v, rnd))
+		out = s.addExchange(now, out, s.nextRemote(v))
 	}
 	if len(s.doubted)+len(v.suspect) > 0 && due(&s.timers.suspect, now, s.cfg.Interval, rnd) {
 		out = s.addExchange(now, out, s.nextDoubted(v, rnd))
@@ -109,12 +110,12 @@
 	return append(out, Action{Kind: DoExchange, Address: address, Full: s.askFull(now)})
 }
 
-// nextLocal goes through the own data centre in a shuffled round, so that each
-// member is probed in bounded time.
+// nextLocal goes through the partners in the own data centre in a shuffled round,
+// so that each member is probed in bounded time.
 func (s *State) nextLocal(v *view, rnd *rand.Rand) string {
 	for {
 		if len(s.round) == 0 {
-			s.round = append(s.round, v.live[s.self.DataCentre]...)
+			s.round = append(s.round, v.near...)
 			rnd.Shuffle(len(s.round), func(i, j int) { s.round[i], s.round[j] = s.round[j], s.round[i] })
 		}
 		if len(s.round) == 0 {
@@ -142,12 +143,12 @@
 }
 
 // nextRemote takes the other data centres in turn.
-func (s *State) nextRemote(v *view, rnd *rand.Rand) string {
+func (s *State) nextRemote(v *view) string {
 	for range v.dcs {
 		s.nextDC = (s.nextDC + 1) % len(v.dcs)
 		dc := v.dcs[s.nextDC]
-		if dc != s.self.DataCentre && len(v.live[dc]) > 0 {
-			return pick(v.live[dc], rnd)
+		if id, ok := v.far[dc]; ok {
+			return id
 		}
 	}
 	return ""
