--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -34,6 +34,8 @@
 	Acquire(ctx context.Context, c *call.Call) (release func(Result), refusal *request.Refusal)
 	// Load returns the figures that ride on responses.
 	Load() call.Load
+	// ServiceTime returns the typical time of a call at the backend server.
+	ServiceTime() time.Duration
 }
 
 // Result is how a call to the backend server ended.
@@ -44,29 +46,39 @@
 	Shed bool
 	// Failed means that there was no complete answer.
 	Failed bool
+	// TimedOut means that the deadline passed or the caller went away while the
+	// call ran.
+	TimedOut bool
 	// NotSent means that the call ended before it reached the backend server.
 	NotSent bool
 }
 
 // RateTokens enforces the fleet-wide rate of workspaces.
 type RateTokens interface {
-	// Take takes one token of the workspace or refuses.
-	Take(ctx context.Context, workspace string) *request.Refusal
-	// Refund returns a token of a call that is known not to have run.
-	Refund(workspace string)
+	// Take takes one token of the workspace or refuses. refund gives the token
+	// back; it is called only if the call is known not to have run.
+	Take(ctx context.Context, workspace string) (refund func(), refusal *request.Refusal)
 }
 
 // Claims makes calls that may not be repeated run at most once.
 type Claims interface {
-	// Acquire claims the request ID. It returns a refusal, or a function that
-	// releases the claim of a call that was not started.
-	Acquire(ctx context.Context, id request.ID) (release func(), refusal *request.Refusal)
+	// Acquire claims the request ID or refuses.
+	Acquire(ctx context.Context, id request.ID) (Claim, *request.Refusal)
+}
+
+// Claim is the right to run one attempt of such a call.
+type Claim interface {
+	// Start reports whether the call may be sent to the backend server now.
+	Start() bool
+	// Release gives the claim back for a call that is known not to have run.
+	Release()
 }
 
 // Quarantine refuses requests that crashed backend servers.
 type Quarantine interface {
-	// Start refuses a quarantined call or records it as running until done is called.
-	Start(c *call.Call) (done func(), refusal *request.Refusal)
+	// Start refuses a quarantined call or records it as running until finish is
+	// called; completed means that the backend server sent a whole response.
+	Start(c *call.Call) (finish func(completed bool), refusal *request.Refusal)
 }
 
 // Guard serves the calls meant for the backend server beside the node.
@@ -183,7 +195,10 @@
 	switch {
 	case verdict == workspace.Revoked:
 		return refuse(request.ReasonKeyRevoked, 0)
-	case verdict != workspace.Valid || ws != c.Workspace:
+	case verdict != workspace.Valid:
+		// The ingress knows the key, so this node is behind in the change log.
+		return refuse(request.ReasonNodeStale, 0)
+	case ws != c.Workspace:
 		return refuse(request.ReasonUnknownKey, 0)
 	case g.backend.Draining():
 		return refuse(request.ReasonDraining, 0)
@@ -200,53 +215,61 @@
 	if refusal := g.check(c); refusal != nil {
 		return unused(c, *refusal), notSent
 	}
-	done, refusal := g.parts.Quarantine.Start(c)
+	claim, refusal := g.claim(ctx, c)
 	if refusal != nil {
 		return unused(c, *refusal), notSent
 	}
-	defer done()
-	releaseClaim, refusal := g.claim(ctx, c)
+	refund, refusal := g.takeToken(ctx, c)
 	if refusal != nil {
+		claim.Release()
 		return unused(c, *refusal), notSent
 	}
-	if refusal := g.takeToken(ctx, c); refusal != nil {
-		releaseClaim()
+	finish, refusal := g.parts.Quarantine.Start(c)
+	if refusal != nil {
+		claim.Release()
+		refund()
 		return unused(c, *refusal), notSent
 	}
+	if !claim.Start() {
+		finish(false)
+		return unused(c, request.Unknown(request.ReasonClaimUnavailable)), notSent
+	}
 	resp, result := g.send(ctx, c)
 	result.Started = started
+	finish(resp.Refusal == nil)
 	if resp.Refusal != nil && resp.Refusal.Outcome == request.NotRun {
-		releaseClaim()
-		g.refundToken(c)
+		claim.Release()
+		refund()
 	}
 	return resp, result
 }
 
-func (g *Guard) claim(ctx context.Context, c *call.Call) (func(), *request.Refusal) {
+func (g *Guard) claim(ctx context.Context, c *call.Call) (Claim, *request.Refusal) {
 	if c.Idempotent {
-		return func() {}, nil
+		return noClaim{}, nil
 	}
 	return g.parts.Claims.Acquire(ctx, c.ID)
 }
 
+// noClaim is the claim of an idempotent call.
+type noClaim struct{}
+
+func (noClaim) Start() bool { return true }
+
+func (noClaim) Release() {}
+
 // takeToken charges a root call to its workspace. Nested calls are part of
 // their root and are not charged again.
-func (g *Guard) takeToken(ctx context.Context, c *call.Call) *request.Refusal {
+func (g *Guard) takeToken(ctx context.Context, c *call.Call) (refund func(), refusal *request.Refusal) {
 	if c.Depth > 0 {
-		return nil
+		return func() {}, nil
 	}
 	return g.parts.Rate.Take(ctx, c.Workspace)
 }
 
-func (g *Guard) refundToken(c *call.Call) {
-	if c.Depth == 0 {
-		g.parts.Rate.Refund(c.Workspace)
-	}
-}
-
 func (g *Guard) send(ctx context.Context, c *call.Call) (*call.Response, Result) {
 	entry := g.running.start(ctx, c)
-	resp, result := g.backend.do(ctx, c, entry.Token)
+	resp, result := g.backend.do(ctx, c, entry.Token, g.silenceRule(c))
 	resp.BudgetUnused = g.running.finish(entry)
 	return resp, result
 }
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -23,6 +23,7 @@
 	request.ReasonNodeStale:        true,
 	request.ReasonWrongIncarnation: true,
 	request.ReasonBadAnswer:        true,
+	request.ReasonShareUnavailable: true,
 }
 
 // attempts sends the call to one guard after another, within the retry budget.
@@ -33,6 +34,7 @@
 	var tried []string
 	mayHaveRun := false
 	for n := 0; ; n++ {
+		in.metrics.Attempt(n > 0)
 		resp, endpoint := in.attempt(ctx, c, svc, budget, tried)
 		tried = append(tried, endpoint)
 		if resp.Refusal == nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,7 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,6 +17,7 @@
 	"github.com/teaselseam/teaselseam/internal/call"
 	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/guard"
+	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/settings"
 )
@@ -45,15 +46,13 @@
 	forward  *Forwarder
 	services *Services
 	pressure Pressure
-
-	mu       sync.Mutex
-	draining bool
-	active   sync.WaitGroup
+	metrics  *obs.Metrics
+	leaving  atomic.Bool
 }
 
 // New returns the ingress of a node.
-func New(log *slog.Logger, ctl Control, g *guard.Guard, b *guard.Backend, f *Forwarder, s *Services, p Pressure) *Ingress {
-	return &Ingress{log: log, control: ctl, guard: g, backend: b, forward: f, services: s, pressure: p}
+func New(log *slog.Logger, ctl Control, g *guard.Guard, b *guard.Backend, f *Forwarder, s *Services, p Pressure, m *obs.Metrics) *Ingress {
+	return &Ingress{log: log, control: ctl, guard: g, backend: b, forward: f, services: s, pressure: p, metrics: m}
 }
 
 // AnnouncePath is where the backend server beside the node announces itself.
@@ -65,56 +64,46 @@
 		in.serveAnnouncement(w, r)
 		return
 	}
-	if !in.enter() {
+	if in.leaving.Load() {
+		// The connection ends with this response, so that the listener can
+		// close without a request under way on an idle connection.
 		w.Header().Set("Connection", "close")
-		writeRefusal(w, "", request.Refuse(request.ReasonDraining, time.Second))
-		return
 	}
-	defer in.active.Done()
 	started := time.Now()
-	c, parent, refusal := in.newCall(r, started)
+	c, parent, refusal := in.newCall(w, r, started)
+	bound(w, c, started)
 	if refusal != nil {
-		in.logRefusal(c, refusal, "admit")
+		in.refused(c, refusal, "admit")
 		writeRefusal(w, idOf(c), *refusal)
 		return
 	}
 	resp := in.serve(r.Context(), c, parent)
 	if resp.Refusal != nil {
-		in.logRefusal(c, resp.Refusal, "call")
+		in.refused(c, resp.Refusal, "call")
 		writeRefusal(w, c.ID, *resp.Refusal)
 		return
 	}
 	writeResponse(w, c.ID, resp)
+	in.metrics.Completed(time.Since(started))
 }
 
-// Drain refuses new requests and waits until the running ones have ended.
-func (in *Ingress) Drain(ctx context.Context) error {
-	in.mu.Lock()
-	in.draining = true
-	in.mu.Unlock()
-	done := make(chan struct{})
-	go func() {
-		in.active.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
+// writeGrace is how long after the deadline a response may still be written. It
+// ends the connection of a caller that went silent.
+const writeGrace = 5 * time.Second
 
-func (in *Ingress) enter() bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.draining {
-		return false
+// bound limits the time in which the response is written to the caller.
+func bound(w http.ResponseWriter, c *call.Call, started time.Time) {
+	deadline := started
+	if c != nil && c.Deadline.After(started) {
+		deadline = c.Deadline
 	}
-	in.active.Add(1)
-	return true
+	// A connection without deadlines, as in tests, is used without a bound.
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace))
 }
 
+// Leave asks callers to close their connections. Requests are still served.
+func (in *Ingress) Leave() { in.leaving.Store(true) }
+
 // serve runs the attempts of a call within the deadline and, for a nested call,
 // within the lifetime of its parent.
 func (in *Ingress) serve(ctx context.Context, c *call.Call, parent *guard.Entry) *call.Response {
@@ -147,7 +136,8 @@
 	return c.ID
 }
 
-func (in *Ingress) logRefusal(c *call.Call, r *request.Refusal, step string) {
+func (in *Ingress) refused(c *call.Call, r *request.Refusal, step string) {
+	in.metrics.Refused(step, r)
 	if !in.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,14 +8,15 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/teaselseam/teaselseam/internal/adminapi"
+	"github.com/teaselseam/teaselseam/internal/admission"
 	"github.com/teaselseam/teaselseam/internal/call"
 	"github.com/teaselseam/teaselseam/internal/config"
 	"github.com/teaselseam/teaselseam/internal/control"
@@ -36,11 +37,14 @@
 	idleTimeout       = 2 * time.Minute
 	keepAliveInterval = 2 * time.Second
 	keepAliveProbes   = 3
+	// longestWrite exceeds the longest timeout of a route. The ingress sets a
+	// shorter bound for each request; this one makes the server renew it.
+	longestWrite = 11 * time.Minute
 	// drainTimeout bounds a planned stop.
 	drainTimeout = time.Minute
-	// drainNotice is how long a stopping node still takes calls, so that the
-	// fleet learns that it is leaving before it refuses any.
-	drainNotice = time.Second
+	// drainNotice is how long a stopping node still serves everything, so that
+	// the fleet learns that it is leaving and callers close their connections.
+	drainNotice = 2 * time.Second
 )
 
 // Node is one running node.
@@ -48,9 +52,12 @@
 	log     *slog.Logger
 	cfg     *config.Config
 	control *control.Control
+	backend *guard.Backend
 	guard   *guard.Guard
+	limiter *guard.AdmissionLimiter
 	ingress *ingress.Ingress
 	pool    *peer.Pool
+	metrics *obs.Metrics
 	servers []*server
 }
 
@@ -72,34 +79,42 @@
 		Status:      membership.Alive,
 		Started:     time.Now(),
 	}
-	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds)}
-	log2 := store.NewLog(st)
+	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds), metrics: obs.NewMetrics()}
+	log2 := store.NewLog(st, store.WithSnapshots(st, store.DefaultSnapshotEvery))
 	n.control = control.New(log, self, log2, n.pool, cfg.Peer.Seeds)
-	backend := guard.NewBackend()
-	n.guard = guard.New(log, self.Incarnation, n.control, backend, guard.Parts{
-		Limiter:    guard.NewFixedLimiter(100),
+	n.backend = guard.NewBackend(guard.Events{Announced: n.backendAnnounced, Lost: n.backendLost})
+	n.limiter = guard.NewAdmissionLimiter(n.weight, func(admission.Load) call.Load { return call.Load{} })
+	n.guard = guard.New(log, self.Incarnation, n.control, n.backend, guard.Parts{
+		Limiter:    n.limiter,
 		Rate:       guard.Open{},
 		Claims:     guard.Open{},
 		Quarantine: guard.Open{},
 	})
 	forward := ingress.NewForwarder(log, n.pool.HTTP())
-	n.ingress = ingress.New(log, n.control, n.guard, backend, forward, ingress.NewServices(), ingress.NoPressure{})
+	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NoPressure{}, n.metrics)
+	n.registerMetrics()
 	return n, n.listen(creds, log2)
 }
 
 func (n *Node) listen(creds peer.Credentials, changes *store.Log) error {
-	peerMux := http.NewServeMux()
-	peerMux.Handle(peerpb.PeerPathPrefix, peerpb.NewPeerServer(n.control))
-	peerMux.Handle(call.PathPrefix+"/", n.guard)
+	control := peerpb.NewPeerServer(n.control)
+	// No http.ServeMux: it would redirect calls whose path has "//".
+	peerHandler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, call.PathPrefix+"/") {
+			n.guard.ServeHTTP(w, r)
+			return
+		}
+		control.ServeHTTP(w, r)
+	})
 	adminMux := http.NewServeMux()
-	adminMux.Handle("/metrics", obs.MetricsHandler(metrics.NewSet()))
+	adminMux.Handle("/metrics", obs.MetricsHandler(n.metrics.Set()))
 	adminMux.Handle("/", adminapi.New(n.log, n.cfg.Operators, n.control, changes))
-	peerServer := &http.Server{Handler: peerMux, TLSConfig: creds.Server, HTTP2: peer.ServerConfig()}
+	peerServer := &http.Server{Handler: peerHandler, TLSConfig: creds.Server, HTTP2: peer.ServerConfig()}
 	for _, s := range []struct {
 		address string
 		server  *http.Server
 	}{
-		{n.cfg.Node.Ingress, &http.Server{Handler: n.ingress}},
+		{n.cfg.Node.Ingress, &http.Server{Handler: n.ingress, WriteTimeout: longestWrite}},
 		{n.cfg.Node.PeerAddr, peerServer},
 		{n.cfg.Node.Admin, &http.Server{Handler: adminMux}},
 	} {
@@ -140,6 +155,8 @@
 	defer stop()
 	g, runCtx := errgroup.WithContext(runCtx)
 	g.Go(func() error { return n.control.Run(runCtx) })
+	g.Go(func() error { return n.backend.Watch(runCtx) })
+	g.Go(func() error { return n.limiter.Run(runCtx) })
 	for _, s := range n.servers {
 		g.Go(s.serve)
 	}
@@ -155,6 +172,29 @@
 	return g.Wait()
 }
 
+// weight returns the weight of a workspace in the settings tree.
+func (n *Node) weight(workspace string) float64 {
+	if s := n.control.Snapshot().Settings; s != nil {
+		return s.Workspace(workspace).Weight
+	}
+	return 1
+}
+
+// backendAnnounced passes on what a backend server says about its load.
+func (n *Node) backendAnnounced(a control.Announcement, fresh bool) {
+	if fresh {
+		n.log.Info("backend server announced", "step", "announce", "service", a.Service, "address", a.Address, "instance", a.Instance)
+		n.limiter.Restart()
+	}
+	n.limiter.Report(a)
+}
+
+// backendLost tells the fleet that the node has no backend server.
+func (n *Node) backendLost() {
+	n.log.Warn("backend server lost", "step", "health")
+	n.control.Announce(context.Background(), control.Announcement{})
+}
+
 func (s *server) serve() error {
 	var err error
 	if s.tls {
@@ -168,13 +208,18 @@
 	return fmt.Errorf("serve %s: %w", s.listener.Addr(), err)
 }
 
+// shutdown stops in the order in which work flows: first the fleet learns that
+// the node is leaving and sends no new calls; then the guard's running calls
+// end, while the ingress still serves their nested calls; then the ingress; and
+// last the peer listener, which the other nodes' claims and tokens go through.
 func (n *Node) shutdown() error {
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	n.log.Info("node stopping", "step", "drain")
+	n.ingress.Leave()
 	n.control.SetDraining(ctx)
 	time.Sleep(drainNotice)
-	err := errors.Join(n.ingress.Drain(ctx), n.guard.Drain(ctx))
+	err := n.guard.Drain(ctx)
 	for _, s := range n.servers {
 		err = errors.Join(err, s.Shutdown(ctx))
 	}
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -51,6 +51,7 @@
 	ReasonKeyRevoked       Reason = "key_revoked"
 	ReasonRouteForbidden   Reason = "route_forbidden"
 	ReasonOverShare        Reason = "over_share"
+	ReasonShareUnavailable Reason = "share_unavailable"
 	ReasonOverload         Reason = "overload"
 	ReasonDownstream       Reason = "downstream_overload"
 	ReasonDeadline         Reason = "deadline"
@@ -62,6 +63,7 @@
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonDuplicate        Reason = "duplicate"
 	ReasonIDTooOld         Reason = "id_too_old"
+	ReasonIDNotV7          Reason = "id_not_uuidv7"
 	ReasonClaimUnavailable Reason = "claim_unavailable"
 	ReasonBadAnswer        Reason = "bad_answer"
 	ReasonCancelled        Reason = "cancelled"
@@ -88,6 +90,7 @@
 
 var reasonStatus = map[Reason]int{
 	ReasonBadRequest:       statusBadRequest,
+	ReasonIDNotV7:          statusBadRequest,
 	ReasonBodyTooLarge:     statusRequestEntityTooLarge,
 	ReasonUnknownRoute:     statusNotFound,
 	ReasonUnknownKey:       statusUnauthorized,
