Own gossip, log and ring in one control goroutine

Control drives the membership core, polls the platform on three nodes per data centre, fetches and pushes entries, and commits ring epochs through a hook. The peer listener identifies clients by certificate; node.go serves Control.Handler for that, because Exchange and Push reject requests without it.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -4,237 +4,259 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/teaselseam/teaselseam/internal/changelog"
 	"github.com/teaselseam/teaselseam/internal/membership"
 	"github.com/teaselseam/teaselseam/internal/peer"
-	"github.com/teaselseam/teaselseam/internal/peerpb"
 	"github.com/teaselseam/teaselseam/internal/settings"
 	"github.com/teaselseam/teaselseam/internal/store"
 	"github.com/teaselseam/teaselseam/internal/workspace"
 )
 
-// Timers of the control goroutine.
-const (
-	gossipInterval = 200 * time.Millisecond
-	pollInterval   = 500 * time.Millisecond
-	rpcTimeout     = time.Second
-	// eventQueue is the number of events waiting for the control goroutine.
-	eventQueue = 256
-	// memberTimeout is the time after which a silent member is dropped.
-	memberTimeout = 3 * time.Second
-)
-
 // Control owns the control state of a node.
 type Control struct {
+	cfg    Config
 	log    *slog.Logger
-	store  *store.Log
-	pool   *peer.Pool
-	seeds  []string
-	events chan func(*state)
+	hooks  Hooks
+	events chan event
+	calls  chan struct{}  // one for each exchange or probe under way
+	wg     sync.WaitGroup // goroutines started by the loop
 
-	snapshot     atomic.Pointer[Snapshot]
-	lastEvidence atomic.Int64 // time of the newest platform or peer evidence, Unix ns
+	snapshot  atomic.Pointer[Snapshot]
+	freshFrom atomic.Pointer[time.Time] // evidence on which freshness rests
+	dropped   atomic.Int64
+	ringAt    atomic.Pointer[RingSettled]
+	stopped   chan struct{}
+}
+
+// event changes the state; done is closed once the result is published.
+type event struct {
+	apply func(*state)
+	done  chan struct{}
 }
 
 // state is touched by the control goroutine only.
 type state struct {
-	self     membership.Member
+	members  *membership.State
+	rnd      *rand.Rand
 	folded   *changelog.State
+	window   []changelog.Entry // newest applied entries, consecutive
 	compiled *settings.Compiled
-	early    *workspace.Keys
-	members  map[string]membership.Member
-	heard    map[string]time.Time
+	leaving  bool // the node takes no new calls, whatever its backend server says
+
+	polling  bool
+	pollAt   time.Time
+	fetching bool
+	ring     ringState
+	built    published
 }
 
-// New returns the control of one node. Run starts it.
+// published notes from what the snapshot was built, so that only what changed is
+// built again.
+type published struct {
+	tree       *settings.Tree
+	keys       *workspace.Keys // of the folded state
+	early      int             // number of early revocations merged
+	membersRev uint64
+}
+
+// New returns the control of one node with default timers. Run starts it.
 func New(log *slog.Logger, self membership.Member, st *store.Log, pool *peer.Pool, seeds []string) *Control {
-	c := &Control{log: log, store: st, pool: pool, seeds: seeds, events: make(chan func(*state), eventQueue)}
-	c.snapshot.Store(&Snapshot{Self: self, Keys: workspace.NewKeys()})
+	return NewWithConfig(Config{
+		Log: log, Self: self, Store: st, Pool: pool, Membership: membership.Config{Seeds: seeds},
+	})
+}
+
+// NewWithConfig returns the control of one node. Run starts it.
+func NewWithConfig(cfg Config) *Control {
+	cfg = cfg.withDefaults()
+	cfg.Self.Started = fromMillis(toMillis(cfg.Self.Started)) // as other nodes see it
+	c := &Control{
+		cfg: cfg, log: cfg.Log, events: make(chan event, eventQueue), calls: make(chan struct{}, maxCalls),
+		stopped: make(chan struct{}),
+	}
+	c.snapshot.Store(&Snapshot{Self: cfg.Self, Keys: workspace.NewKeys()})
 	return c
 }
 
 // Snapshot returns the newest published state.
 func (c *Control) Snapshot() *Snapshot { return c.snapshot.Load() }
 
-// Fresh reports whether the node may serve at the given time.
+// Fresh reports whether the node may serve at the given time, which must come
+// from time.Now. It compares both clocks, so that it is false right after a pause
+// or a suspension, before the control goroutine has run.
 func (c *Control) Fresh(now time.Time) bool {
-	return c.Snapshot().State != nil && now.UnixNano()-c.lastEvidence.Load() < int64(freshnessBound)
+	from := c.freshFrom.Load()
+	return from != nil && now.Sub(*from) < c.cfg.Membership.Bound &&
+		now.UnixNano()-from.UnixNano() < int64(c.cfg.Membership.Bound)
 }
 
-// freshnessBound is how old a node's newest evidence may be while it serves.
-const freshnessBound = 8 * time.Second
+// DroppedEvents returns the number of events that found the queue full.
+func (c *Control) DroppedEvents() int64 { return c.dropped.Load() }
 
-// Run owns the state until ctx ends.
+// Run owns the state until ctx ends, then tells a few members that the node left.
 func (c *Control) Run(ctx context.Context) error {
-	self := c.Snapshot().Self
+	now := time.Now()
 	s := &state{
-		self:    self,
-		early:   workspace.NewKeys(),
-		members: map[string]membership.Member{},
-		heard:   map[string]time.Time{},
+		members: membership.New(c.cfg.Membership, c.cfg.Self, now),
+		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return c.loop(ctx, s) })
-	g.Go(func() error { return c.every(ctx, pollInterval, c.poll) })
-	g.Go(func() error { return c.every(ctx, gossipInterval, c.gossip) })
-	return g.Wait()
-}
-
-func (c *Control) loop(ctx context.Context, s *state) error {
+	tick := time.NewTicker(c.cfg.Tick)
+	defer tick.Stop()
+	c.tick(ctx, s)
 	for {
 		select {
 		case <-ctx.Done():
+			close(c.stopped)
+			c.wg.Wait()
+			c.farewell(ctx, s)
 			return nil
-		case event := <-c.events:
-			event(s)
+		case e := <-c.events:
+			e.apply(s)
 			c.publish(s)
+			if e.done != nil {
+				close(e.done)
+			}
+		case <-tick.C:
+			c.tick(ctx, s)
 		}
 	}
 }
 
-func (c *Control) every(ctx context.Context, d time.Duration, f func(context.Context)) error {
-	t := time.NewTicker(d)
-	defer t.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+// tick starts what is due.
+func (c *Control) tick(ctx context.Context, s *state) {
+	now := time.Now()
+	for _, a := range s.members.Tick(now, s.rnd) {
+		c.act(ctx, s, a)
 	}
+	c.pollIfDue(ctx, s, now)
+	c.ringIfDue(ctx, s, now)
+	c.publish(s)
 }
 
-func (c *Control) send(ctx context.Context, event func(*state)) {
+// start runs f on a goroutine that Run waits for, unless too many are running.
+func (c *Control) start(f func()) bool {
 	select {
-	case c.events <- event:
-	case <-ctx.Done():
+	case c.calls <- struct{}{}:
+	default:
+		return false
 	}
+	c.wg.Go(func() {
+		defer func() { <-c.calls }()
+		f()
+	})
+	return true
 }
 
-func (c *Control) publish(s *state) {
-	snap := &Snapshot{State: s.folded, Settings: s.compiled, Self: s.self, Keys: s.early}
-	if s.folded != nil {
-		snap.Keys = s.folded.Keys.Revoke(s.early.RevokedDigests()...)
-		snap.Self.AppliedSeq = s.folded.Seq
-	}
-	snap.ByService = map[string][]membership.Member{}
-	snap.Members = append(snap.Members, snap.Self)
-	for _, m := range s.members {
-		snap.Members = append(snap.Members, m)
+// do runs an event on the control goroutine and waits until its result is
+// published. It returns false if the event was not run.
+func (c *Control) do(ctx context.Context, apply func(*state)) bool {
+	e := event{apply: apply, done: make(chan struct{})}
+	select {
+	case c.events <- e:
+	case <-ctx.Done():
+		c.dropped.Add(1)
+		return false
+	case <-c.stopped:
+		return false
 	}
-	for _, m := range snap.Members {
-		if m.Service != "" && m.Status == membership.Alive {
-			snap.ByService[m.Service] = append(snap.ByService[m.Service], m)
-		}
+	select {
+	case <-e.done:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-c.stopped:
+		return false
 	}
-	c.snapshot.Store(snap)
 }
 
-// poll reads new change log entries from the platform.
-func (c *Control) poll(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
-	defer cancel()
-	sent := time.Now()
-	var after int64
-	if st := c.Snapshot().State; st != nil {
-		after = st.Seq
-	}
-	entries, err := c.store.Read(ctx, after)
-	if err != nil {
-		c.log.Warn("platform poll failed", "step", "poll", "peer", "platform", "error", err)
-		return
+// post queues an event without waiting; an event that finds the queue full is
+// counted and dropped.
+func (c *Control) post(apply func(*state)) {
+	select {
+	case c.events <- event{apply: apply}:
+	default:
+		c.dropped.Add(1)
 	}
-	c.send(ctx, func(s *state) { c.apply(s, entries) })
-	c.lastEvidence.Store(sent.UnixNano())
 }
 
-func (c *Control) apply(s *state, entries []changelog.Entry) {
-	if s.folded == nil {
-		s.folded = changelog.NewState()
+// publish stores a new snapshot if anything changed, and then the evidence: a
+// reader that sees the evidence sees all entries it stands for.
+func (c *Control) publish(s *state) {
+	if snap, changed := s.build(c.Snapshot()); changed {
+		c.snapshot.Store(snap)
 	}
-	for _, e := range entries {
-		next, err := s.folded.Apply(e)
-		if err != nil {
-			break // already applied by an earlier poll
-		}
-		s.folded = next
+	from := s.members.FreshFrom(time.Now())
+	if from.IsZero() || s.folded == nil {
+		c.freshFrom.Store(nil)
+		return
 	}
-	s.compiled = settings.Compile(s.folded.Tree)
+	c.freshFrom.Store(&from)
 }
 
-// gossip exchanges members with one random peer.
-func (c *Control) gossip(ctx context.Context) {
-	snap := c.Snapshot()
-	targets := append([]string(nil), c.seeds...)
-	for _, m := range snap.Members {
-		if m.ID != snap.Self.ID {
-			targets = append(targets, m.PeerAddress)
-		}
+// build returns the snapshot of a state, with unchanged parts taken over.
+func (s *state) build(old *Snapshot) (snap *Snapshot, changed bool) {
+	snap = &Snapshot{
+		State: s.folded, Settings: s.compiled, Self: s.members.Self(),
+		Keys: old.Keys, Members: old.Members, ByService: old.ByService,
 	}
-	if len(targets) == 0 {
-		return
-	}
-	target := targets[rand.IntN(len(targets))]
-	if target == snap.Self.PeerAddress {
-		return
+	changed = snap.State != old.State || snap.Settings != old.Settings || snap.Self != old.Self
+	if s.folded != nil {
+		early := s.members.EarlyRevocations()
+		if s.built.keys != s.folded.Keys || s.built.early != len(early) {
+			s.built.keys, s.built.early = s.folded.Keys, len(early)
+			snap.Keys = s.folded.Keys.Revoke(toDigests(early)...)
+			changed = true
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, rpcTimeout)
-	defer cancel()
-	sent := time.Now()
-	resp, err := c.pool.Client(target).Exchange(ctx, &peerpb.ExchangeRequest{Self: memberToPB(snap.Self)})
-	if err != nil {
-		return
+	if rev := s.members.Revision(); rev != s.built.membersRev || old.Members == nil || snap.Self != old.Self {
+		s.built.membersRev = rev
+		snap.Members = s.members.Members()
+		snap.ByService = byService(snap.Members)
+		changed = true
 	}
-	c.lastEvidence.Store(sent.UnixNano())
-	c.send(ctx, func(s *state) { s.merge(time.Now(), append(resp.Members, resp.Self)) })
+	return snap, changed
 }
 
-func (s *state) merge(now time.Time, members []*peerpb.Member) {
-	for _, pb := range members {
-		m := memberFromPB(pb)
-		if m.ID == s.self.ID {
-			continue
-		}
-		if old, ok := s.members[m.ID]; ok && old.Incarnation == m.Incarnation && old.Version >= m.Version {
-			continue
-		}
-		s.members[m.ID] = m
-		s.heard[m.ID] = now
-	}
-	for id, t := range s.heard {
-		if now.Sub(t) > memberTimeout {
-			delete(s.members, id)
-			delete(s.heard, id)
+func byService(members []membership.Member) map[string][]membership.Member {
+	out := map[string][]membership.Member{}
+	for _, m := range members {
+		if m.Service != "" && m.Status == membership.Alive {
+			out[m.Service] = append(out[m.Service], m)
 		}
 	}
+	return out
 }
 
 // Announce records what the backend server beside the node says about itself.
-func (c *Control) Announce(ctx context.Context, a Announcement) {
-	c.send(ctx, func(s *state) {
-		s.self.Service = a.Service
-		s.self.Draining = a.Draining
-		s.self.MaxConnections = a.MaxConnections
-		s.self.BackendStarted = a.Started
-		s.self.Version++
+func (c *Control) Announce(_ context.Context, a Announcement) {
+	c.post(func(s *state) {
+		s.members.UpdateSelf(func(m *membership.Member) {
+			m.Service = a.Service
+			m.Draining = a.Draining || s.leaving
+			m.MaxConnections = a.MaxConnections
+			m.BackendStarted = fromMillis(toMillis(a.Started))
+		})
 	})
 }
 
 // SetDraining tells the fleet that the node takes no new calls.
 func (c *Control) SetDraining(ctx context.Context) {
-	c.send(ctx, func(s *state) {
-		s.self.Draining = true
-		s.self.Version++
+	c.do(ctx, func(s *state) {
+		s.leaving = true
+		s.members.UpdateSelf(func(m *membership.Member) { m.Draining = true })
 	})
 }
 
-// Learn applies entries that were just committed or pushed.
-func (c *Control) Learn(ctx context.Context, entries ...changelog.Entry) {
-	c.send(ctx, func(s *state) { c.apply(s, entries) })
+// Evidence returns the age of the newest information by data centre, and of the
+// platform under membership.PlatformSource.
+func (c *Control) Evidence(now time.Time) map[string]time.Duration {
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.CallTimeout)
+	defer cancel()
+	out := map[string]time.Duration{}
+	c.do(ctx, func(s *state) { out = s.members.EvidenceAges(now) })
+	return out
 }
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -18,7 +18,8 @@
 	digest     uint64             // over all records
 	queue      []string           // IDs of records still to be passed on
 	filler     int                // position of the round through the table
-	cached     *view
+	cached     *view              // nil after a change
+	revision   uint64             // counts the changes
 
 	// appeared is when a member of a data centre last became alive that was dead
 	// or unknown.
@@ -59,6 +60,8 @@
 	dead    []string
 	suspect []string
 	alive   int // self included
+	// liveDigest is filled in on demand.
+	liveDigest uint64
 }
 
 // New returns the state of a node that has just started.
@@ -137,7 +140,7 @@
 func (s *State) setSelf(m Member) {
 	s.digest ^= hashOf(&s.self) ^ hashOf(&m)
 	s.self = m
-	s.cached = nil
+	s.changed()
 }
 
 // merge takes news about a member. It reports whether anything changed.
@@ -234,7 +237,12 @@
 		s.addresses[m.PeerAddress] = m.ID
 	}
 	s.enqueue(r)
+	s.changed()
+}
+
+func (s *State) changed() {
 	s.cached = nil
+	s.revision++
 }
 
 func (s *State) setStatus(now time.Time, id string, status Status) {
@@ -250,7 +258,7 @@
 		delete(s.addresses, r.PeerAddress)
 	}
 	delete(s.members, id)
-	s.cached = nil
+	s.changed()
 }
 
 func (s *State) view() *view {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,7 +25,6 @@
 	"github.com/teaselseam/teaselseam/internal/membership"
 	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/peer"
-	"github.com/teaselseam/teaselseam/internal/peerpb"
 	"github.com/teaselseam/teaselseam/internal/platform"
 	"github.com/teaselseam/teaselseam/internal/store"
 )
@@ -97,7 +96,7 @@
 }
 
 func (n *Node) listen(creds peer.Credentials, changes *store.Log) error {
-	control := peerpb.NewPeerServer(n.control)
+	control := n.control.Handler()
 	// No http.ServeMux: it would redirect calls whose path has "//".
 	peerHandler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, call.PathPrefix+"/") {
