--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -163,11 +163,10 @@
 	case <-c.stopped:
 		return false
 	}
+	// A queued event runs even if ctx ends, so its variables must not be read before.
 	select {
 	case <-e.done:
 		return true
-	case <-ctx.Done():
-		return false
 	case <-c.stopped:
 		return false
 	}
--- a/internal/control/learn.go
+++ b/internal/control/learn.go
@@ -83,7 +83,8 @@
 	if s.folded != nil && !lonely && s.members.Rank() >= pollers {
 		return
 	}
-	s.polling = c.start(func() { c.poll(ctx, s.seq(), s.folded == nil) })
+	after, first := s.seq(), s.folded == nil
+	s.polling = c.start(func() { c.poll(ctx, after, first) })
 }
 
 // poll reads until nothing is left. Only a read that found everything applied is
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -62,7 +62,7 @@
 func newTransport(creds Credentials) *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: serverPingInterval}).DialContext,
-		TLSClientConfig:     creds.Client,
+		TLSClientConfig:     creds.Client.Clone(), // http.Transport changes it
 		ForceAttemptHTTP2:   true,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
--- a/internal/platform/standin/memory.go
+++ b/internal/platform/standin/memory.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"sync"
@@ -19,6 +20,14 @@
 	Down          bool          `json:"down"`           // every call fails without effect
 	Delay         time.Duration `json:"delay"`          // added to every call, in nanoseconds
 	LoseResponses bool          `json:"lose_responses"` // writes take effect, then fail
+	// DownShare, SlowShare and LoseShare are the shares of calls that fail, take
+	// SlowDelay longer, or lose their response, from 0 to 1.
+	DownShare float64       `json:"down_share"`
+	SlowShare float64       `json:"slow_share"`
+	SlowDelay time.Duration `json:"slow_delay"` // nanoseconds
+	LoseShare float64       `json:"lose_share"`
+	// Seed makes the choice of calls repeatable.
+	Seed uint64 `json:"seed"`
 }
 
 // Errors of an injected fault.
@@ -41,13 +50,14 @@
 	objects map[string][]byte
 	faults  Faults
 	counts  Counts
+	rnd     *rand.Rand
 }
 
 var _ platform.Store = (*Memory)(nil)
 
 // NewMemory returns an empty, healthy platform.
 func NewMemory() *Memory {
-	return &Memory{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &Memory{rows: map[string]platform.Row{}, objects: map[string][]byte{}, rnd: newRandom(0)}
 }
 
 // SetFaults changes the injected faults.
@@ -55,8 +65,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.faults = f
+	m.rnd = newRandom(f.Seed)
 }
 
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
+// hit draws whether a call is among a share. The mutex must be held.
+func (m *Memory) hit(share float64) bool { return share > 0 && m.rnd.Float64() < share }
+
 // Counts returns the calls served so far.
 func (m *Memory) Counts() Counts {
 	m.mu.Lock()
@@ -73,6 +89,10 @@
 	} else {
 		m.counts.Reads++
 	}
+	if m.hit(f.SlowShare) {
+		f.Delay += f.SlowDelay
+	}
+	f.Down = f.Down || m.hit(f.DownShare)
 	m.mu.Unlock()
 	if f.Delay > 0 {
 		select {
@@ -130,7 +150,7 @@
 	for _, p := range tx.Puts {
 		m.put(p)
 	}
-	if m.faults.LoseResponses {
+	if m.faults.LoseResponses || m.hit(m.faults.LoseShare) {
 		return errLostResponse
 	}
 	return nil
@@ -167,7 +187,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.objects[name] = slices.Clone(data)
-	if m.faults.LoseResponses {
+	if m.faults.LoseResponses || m.hit(m.faults.LoseShare) {
 		return errLostResponse
 	}
 	return nil
