Wire claims, fleet-wide rates and quarantine into the node

The newest settled entry travels in exchanges, because lenders on every node need it. Certificates for tests are replaced by rename: a node that started meanwhile had read a half-written file.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -95,8 +95,9 @@
 
 // hold decides on an acquire with the node's present knowledge.
 func (s *Service) hold(a claim.Acquire) claim.Reply {
-	newest := s.source.Ring().Newest()
+	// In this order: the ring then holds all that the evidence covers.
 	until := s.source.FreshUntil()
+	newest := s.source.Ring().Newest()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if newest != nil {
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -80,6 +80,9 @@
 	// QuarantineIn takes those of a peer.
 	QuarantineOut func() []byte
 	QuarantineIn  func(from string, data []byte)
+	// QuarantineReply, if set, takes the entries of a request and returns those of
+	// the response, in place of the two above.
+	QuarantineReply func(from string, data []byte) []byte
 	// NextRing returns the ring epoch for the given live members, if it differs from
 	// the one in the state.
 	NextRing func(now time.Time, s *changelog.State, live []membership.Member) (ring json.RawMessage, needed bool)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -29,6 +29,7 @@
 	freshFrom atomic.Pointer[time.Time] // evidence on which freshness rests
 	dropped   atomic.Int64
 	ringAt    atomic.Pointer[RingSettled]
+	settled   atomic.Int64 // newest change log entry known to be settled
 	stopped   chan struct{}
 }
 
@@ -94,6 +95,30 @@
 		now.UnixNano()-from.UnixNano() < int64(c.cfg.Membership.Bound)
 }
 
+// FreshUntil returns until when the node is fresh with its present evidence; the
+// zero time if it is not. Everything that the evidence covers is in the snapshot
+// that a later call of Snapshot returns.
+func (c *Control) FreshUntil() time.Time {
+	from := c.freshFrom.Load()
+	if from == nil {
+		return time.Time{}
+	}
+	return from.Add(c.cfg.Membership.Bound)
+}
+
+// SettledSeq returns the newest change log entry that this node knows to be
+// settled.
+func (c *Control) SettledSeq() int64 { return c.settled.Load() }
+
+// noteSettled records that the entries up to a sequence number are settled.
+func (c *Control) noteSettled(seq int64) {
+	for known := c.settled.Load(); seq > known; known = c.settled.Load() {
+		if c.settled.CompareAndSwap(known, seq) {
+			return
+		}
+	}
+}
+
 // DroppedEvents returns the number of events that found the queue full.
 func (c *Control) DroppedEvents() int64 { return c.dropped.Load() }
 
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -30,7 +30,9 @@
 }
 
 func (c *Control) request(s *state, a membership.Action) *peerpb.ExchangeRequest {
-	return requestToPB(s.members.Request(time.Now(), a.Peer.ID, a.Full), c.quarantineOut())
+	req := requestToPB(s.members.Request(time.Now(), a.Peer.ID, a.Full), c.quarantineOut())
+	req.SettledSeq = c.SettledSeq()
+	return req
 }
 
 func (c *Control) quarantineOut() []byte {
@@ -46,6 +48,14 @@
 	}
 }
 
+func (c *Control) quarantineReply(from string, data []byte) []byte {
+	if c.hooks.QuarantineReply != nil && len(data) > 0 {
+		return c.hooks.QuarantineReply(from, data)
+	}
+	c.quarantineIn(from, data)
+	return c.quarantineOut()
+}
+
 // exchange sends one gossip request and hands the result to the state.
 func (c *Control) exchange(ctx context.Context, a membership.Action, req *peerpb.ExchangeRequest) {
 	sent := time.Now()
@@ -70,6 +80,7 @@
 func (c *Control) answer(ctx context.Context, s *state, sent time.Time, from string, a membership.Action, resp *peerpb.ExchangeResponse) {
 	s.members.Answer(sent, time.Now(), from, responseFromPB(resp, a.Full))
 	c.quarantineIn(resp.GetSelf().GetId(), resp.GetQuarantine())
+	c.noteSettled(resp.GetSettledSeq())
 	c.fetchIfBehind(ctx, s, a.Address, resp.GetSeq())
 }
 
--- a/internal/control/ring.go
+++ b/internal/control/ring.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/teaselseam/teaselseam/internal/changelog"
+	"github.com/teaselseam/teaselseam/internal/membership"
 	"github.com/teaselseam/teaselseam/internal/peerpb"
 )
 
@@ -32,6 +34,8 @@
 type ringState struct {
 	live    uint64 // digest of the live members
 	since   time.Time
+	seq     int64 // applied sequence number, and since when
+	seqAt   time.Time
 	busy    bool
 	retryAt time.Time
 }
@@ -43,6 +47,9 @@
 	if live := s.members.LiveDigest(); live != s.ring.live || s.ring.since.IsZero() {
 		s.ring.live, s.ring.since = live, now
 	}
+	if seq := s.seq(); seq != s.ring.seq {
+		s.ring.seq, s.ring.seqAt = seq, now
+	}
 	if c.hooks.NextRing == nil || s.folded == nil || s.ring.busy || now.Before(s.ring.retryAt) ||
 		now.Sub(s.ring.since) < c.cfg.RingStable || !s.members.Fresh(now) {
 		return
@@ -56,8 +63,31 @@
 		s.ring.busy = c.start(func() { c.commitRing(ctx, st.RingSeq, data) })
 		return
 	}
-	if known, _ := c.RingSettled(); st.RingSeq > known.Seq {
-		s.ring.busy = c.start(func() { c.settleRing(ctx, st.RingSeq, SpreadReport{}) })
+	known, _ := c.RingSettled()
+	// The node that committed an entry usually settles it at once; this catches up
+	// if it could not, or failed.
+	entryDue := st.Seq > c.SettledSeq() && now.Sub(s.ring.seqAt) > c.cfg.RingStable
+	if st.RingSeq > known.Seq || entryDue {
+		s.ring.busy = c.start(func() { c.settleRing(ctx, st.Seq, SpreadReport{}) })
+	}
+}
+
+// LeaveRing commits a ring epoch without this node and without other members
+// that are leaving, so that its successors take over before it stops.
+func (c *Control) LeaveRing(ctx context.Context) {
+	var after int64
+	var data []byte
+	var needed bool
+	c.do(ctx, func(s *state) {
+		if c.hooks.NextRing == nil || s.folded == nil {
+			return
+		}
+		live := slices.DeleteFunc(s.members.Live(), func(m membership.Member) bool { return m.ID == c.cfg.Self.ID })
+		after = s.folded.RingSeq
+		data, needed = c.hooks.NextRing(time.Now(), s.folded, live)
+	})
+	if needed {
+		c.commitRing(ctx, after, data)
 	}
 }
 
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -47,8 +47,10 @@
 	}
 	var resp *peerpb.ExchangeResponse
 	if !c.do(ctx, func(s *state) {
-		c.quarantineIn(req.GetSelf().GetId(), req.GetQuarantine())
-		resp = responseToPB(s.members.Handle(time.Now(), requestFromPB(req)), c.quarantineOut())
+		quarantine := c.quarantineReply(req.GetSelf().GetId(), req.GetQuarantine())
+		c.noteSettled(req.GetSettledSeq())
+		resp = responseToPB(s.members.Handle(time.Now(), requestFromPB(req)), quarantine)
+		resp.SettledSeq = c.SettledSeq()
 	}) {
 		return nil, errBusy
 	}
--- a/internal/control/spread.go
+++ b/internal/control/spread.go
@@ -53,10 +53,8 @@
 	return c.spread(ctx, 0, &peerpb.PushRequest{Revocations: [][]byte{d[:]}})
 }
 
-// SpreadQuarantine pushes the node's quarantine entries to all live members.
-func (c *Control) SpreadQuarantine(ctx context.Context) SpreadReport {
-	var data []byte
-	c.do(ctx, func(*state) { data = c.quarantineOut() })
+// SpreadQuarantine pushes quarantine entries to all live members.
+func (c *Control) SpreadQuarantine(ctx context.Context, data []byte) SpreadReport {
 	return c.spread(ctx, 0, &peerpb.PushRequest{Quarantine: data})
 }
 
@@ -139,5 +137,8 @@
 		r.DataCentres, settled = s.members.Settled(now, p.acked)
 		r.Settled = settled && s.members.Fresh(now) && s.seq() >= p.seq
 	})
+	if r.Settled {
+		c.noteSettled(p.seq)
+	}
 	return r
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/teaselseam/teaselseam/internal/adminapi"
 	"github.com/teaselseam/teaselseam/internal/admission"
 	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/claims"
 	"github.com/teaselseam/teaselseam/internal/config"
 	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/guard"
@@ -27,6 +28,7 @@
 	"github.com/teaselseam/teaselseam/internal/peer"
 	"github.com/teaselseam/teaselseam/internal/platform"
 	"github.com/teaselseam/teaselseam/internal/pressure"
+	"github.com/teaselseam/teaselseam/internal/rates"
 	"github.com/teaselseam/teaselseam/internal/store"
 )
 
@@ -45,6 +47,10 @@
 	// drainNotice is how long a stopping node still serves everything, so that
 	// the fleet learns that it is leaving and callers close their connections.
 	drainNotice = 2 * time.Second
+	// spreadTimeout bounds the push of crash evidence.
+	spreadTimeout = 5 * time.Second
+	// liftInterval is how often quarantine lifts are looked for.
+	liftInterval = time.Second
 )
 
 // Node is one running node.
@@ -58,6 +64,10 @@
 	ingress *ingress.Ingress
 	pool    *peer.Pool
 	metrics *obs.Metrics
+	claims  *claims.Service
+	rates   *rates.Service
+	crashes *guard.Crashes
+	admin   *adminapi.API
 	servers []*server
 }
 
@@ -80,20 +90,38 @@
 		Started:     time.Now(),
 	}
 	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds), metrics: obs.NewMetrics()}
-	log2 := store.NewLog(st, store.WithSnapshots(st, store.DefaultSnapshotEvery))
-	n.control = control.New(log, self, log2, n.pool, cfg.Peer.Seeds)
-	n.backend = guard.NewBackend(guard.Events{Announced: n.backendAnnounced, Lost: n.backendLost})
+	changes := store.NewLog(st, store.WithSnapshots(st, store.DefaultSnapshotEvery))
+	n.control = control.New(log, self, changes, n.pool, cfg.Peer.Seeds)
+	source := &rings{log: log, control: n.control}
+	n.claims = claims.New(log, self.ID, self.Incarnation, source, n.pool)
+	n.rates = rates.New(log, rates.Self{Node: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre}, source, n.pool)
+	n.crashes = guard.NewCrashes(log, n.spreadCrash)
+	n.control.SetHooks(control.Hooks{
+		QuarantineOut:   n.crashes.Summary,
+		QuarantineIn:    func(_ string, data []byte) { n.crashes.Receive(data) },
+		QuarantineReply: func(_ string, data []byte) []byte { return n.crashes.Receive(data) },
+		NextRing:        source.next,
+		AcquireClaim:    n.claims.AcquireClaim,
+		ReleaseClaim:    n.claims.ReleaseClaim,
+		Borrow:          n.rates.Borrow,
+		HandOver:        n.rates.HandOver,
+	})
+	n.backend = guard.NewBackend(guard.Events{
+		Announced: n.backendAnnounced,
+		Lost:      n.backendLost,
+		Died:      func(string) { n.crashes.BackendDied() },
+	})
 	n.limiter = guard.NewAdmissionLimiter(n.weight, encodeLoad)
 	n.guard = guard.New(log, self.Incarnation, n.control, n.backend, guard.Parts{
 		Limiter:    n.limiter,
-		Rate:       guard.Open{},
-		Claims:     guard.Open{},
-		Quarantine: guard.Open{},
+		Rate:       n.rates,
+		Claims:     guardClaims{n.claims},
+		Quarantine: n.crashes,
 	})
 	forward := ingress.NewForwarder(log, n.pool.HTTP())
 	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NewPressureTable(n.weight), n.metrics)
 	n.registerMetrics()
-	return n, n.listen(creds, log2)
+	return n, n.listen(creds, changes)
 }
 
 func (n *Node) listen(creds peer.Credentials, changes *store.Log) error {
@@ -106,9 +134,10 @@
 		}
 		control.ServeHTTP(w, r)
 	})
+	n.admin = adminapi.New(n.log, n.cfg.Operators, adminControl{n.control, n.crashes}, changes)
 	adminMux := http.NewServeMux()
 	adminMux.Handle("/metrics", obs.MetricsHandler(n.metrics.Set()))
-	adminMux.Handle("/", adminapi.New(n.log, n.cfg.Operators, n.control, changes))
+	adminMux.Handle("/", n.admin)
 	peerServer := &http.Server{Handler: peerHandler, TLSConfig: creds.Server, HTTP2: peer.ServerConfig()}
 	for _, s := range []struct {
 		address string
@@ -157,6 +186,8 @@
 	g.Go(func() error { return n.control.Run(runCtx) })
 	g.Go(func() error { return n.backend.Watch(runCtx) })
 	g.Go(func() error { return n.limiter.Run(runCtx) })
+	g.Go(func() error { return n.rates.Run(runCtx) })
+	g.Go(func() error { return n.applyLifts(runCtx) })
 	for _, s := range n.servers {
 		g.Go(s.serve)
 	}
@@ -198,6 +229,32 @@
 	n.limiter.Report(a)
 }
 
+// spreadCrash sends crash evidence to all nodes at once. Gossip repairs what
+// does not arrive.
+func (n *Node) spreadCrash(evidence []byte) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), spreadTimeout)
+		defer cancel()
+		n.control.SpreadQuarantine(ctx, evidence)
+	}()
+}
+
+// applyLifts passes the quarantine lifts of the change log on to the guard.
+func (n *Node) applyLifts(ctx context.Context) error {
+	t := time.NewTicker(liftInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			if s := n.control.Snapshot().State; s != nil {
+				n.crashes.Lift(s.Lifts)
+			}
+		}
+	}
+}
+
 // backendLost tells the fleet that the node has no backend server.
 func (n *Node) backendLost() {
 	n.log.Warn("backend server lost", "step", "health")
@@ -229,6 +286,9 @@
 	n.control.SetDraining(ctx)
 	time.Sleep(drainNotice)
 	err := n.guard.Drain(ctx)
+	n.control.LeaveRing(ctx)
+	n.rates.WaitHandOver(ctx)
+	n.admin.Close()
 	for _, s := range n.servers {
 		err = errors.Join(err, s.Shutdown(ctx))
 	}
--- a/internal/peer/devca.go
+++ b/internal/peer/devca.go
@@ -97,9 +97,19 @@
 		name + ".key": {Type: "PRIVATE KEY", Bytes: key},
 	}
 	for file, block := range files {
-		if err := os.WriteFile(filepath.Join(dir, file), pem.EncodeToMemory(block), 0o600); err != nil {
+		if err := replaceFile(filepath.Join(dir, file), pem.EncodeToMemory(block)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// replaceFile never leaves a half-written file, because a node may be reading the
+// authority's certificate while the next node's files are written.
+func replaceFile(name string, data []byte) error {
+	temporary := name + ".new"
+	if err := os.WriteFile(temporary, data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(temporary, name)
+}
