Let the limit grow on bursts and fall when every call times out

The limit grew only from windows in which it bound for 80 % of the time. With bursts of 20 calls each 100 ms it stayed at the initial 8 while calls waited for idle slots. Binding for 10 % of a window is now enough to grow, 80 % is still needed to suspect an overload. The new test fails with the previous limit.go.

A window in which every call timed out has no throughput, so probes could not judge it, and its latency looked like a baseline. Such a window now halves the limit, no further than to the initial value, because the cause may lie elsewhere.

The invariants test now also cancels waiting calls.

--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -69,6 +69,9 @@
 			cfg.MinLimit, cfg.MaxLimit = 1, 2*slots
 		}
 		p := &player{c: New(cfg, epoch), calls: drawCalls(t)}
+		for i := range p.calls {
+			p.calls[i].giveUp = time.Duration(rapid.SampledFrom([]int{0, 0, 15}).Draw(t, "give up")) * time.Millisecond
+		}
 		p.observe = func() {
 			if l := p.c.Load(); l.Queued > 0 && l.Running < l.Limit {
 				t.Fatalf("%d calls wait and %d of %d slots are used", l.Queued, l.Running, l.Limit)
@@ -226,3 +229,15 @@
 	before := served(p.calls, func(c *call) bool { return c.at < begin })
 	atLeast(t, "calls before the surge, after a cold start", before, 0.999)
 }
+
+// TestBurstsRaiseTheLimit guards against a limit that stays at its start value
+// because demand reaches it only now and then.
+func TestBurstsRaiseTheLimit(t *testing.T) {
+	var calls []call
+	for i := range 1000 {
+		calls = append(calls, call{workspace: "a", at: time.Duration(i/20) * 100 * time.Millisecond, service: 20 * time.Millisecond})
+	}
+	p := &player{c: New(Config{}, epoch), calls: calls}
+	p.play()
+	atLeast(t, "limit after bursts of 20 calls", float64(p.c.Load().Limit), 20)
+}
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -31,7 +31,7 @@
 //
 //  1. Startup: starting low, it doubles the limit while there is demand, until
 //     latency rises and throughput no longer does.
-//  2. Steady: it grows in steps that get smaller as latency nears growRatio
+//  2. Steady: while the limit binds at times, it grows in steps that get smaller as latency nears growRatio
 //     times the baseline, and holds above that.
 //  3. Suspect: when latency exceeds overRatio times the baseline, when the
 //     backend server sheds calls, or when the baseline is old, it measures
@@ -43,8 +43,10 @@
 //
 // Windows are measured as throughput and mean concurrency rather than as a mean
 // over completed calls: calls that hang then count while they hang. A window in
-// which the limit did not bind says nothing about the limit, and only updates
-// the baseline.
+// which the limit bound only at times can't show an overload, but lets the limit
+// grow; one in which it never bound only updates the baseline. If all calls of a
+// window time out, there is nothing to compare, and the limit falls towards its
+// initial value.
 //
 // The alternatives that were measured, and the figures, are in
 // docs/decisions/concurrency-limit.md.
@@ -73,7 +75,9 @@
 // Config.MaxWait. If all waiting calls together would take longer than MaxWait
 // to drain, one must go: the least important call among workspaces over their
 // share, from the one furthest over it, and there the newest. The arriving call
-// is refused itself unless it ranks above that one.
+// is refused itself unless it ranks above that one. A burst can fill the queue
+// while its workspaces still have credit and so none is over its share; then the
+// least important call goes, in favour of more important arrivals only.
 //
 // There is a ring of flows per importance, and in it one flow per workspace
 // that waits. A free slot goes to the highest importance, first among the
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -51,8 +51,10 @@
 	slowWindow = time.Second
 
 	// saturatedPart is the part of a window in which the limit must bind for
-	// the window to say anything about the limit.
+	// the window to show an overload. bindingPart is enough to grow, so that a
+	// limit that only bursts reach does not stay too low.
 	saturatedPart = 0.8
+	bindingPart   = 0.1
 	// refusedPart of calls shed by the backend server raises a suspicion.
 	refusedPart = 0.1
 
@@ -87,7 +89,7 @@
 	throughput float64 // served calls per second
 	latency    float64 // seconds
 	refused    float64 // part of the calls that the backend server shed
-	saturated  bool    // the limit was binding
+	full       float64 // part of the time at the limit
 }
 
 // window accumulates a sample.
@@ -227,18 +229,25 @@
 		throughput: float64(w.served) / seconds,
 		latency:    w.busy / n,
 		refused:    float64(w.refused) / (n + float64(w.refused)),
-		saturated:  w.full >= saturatedPart*seconds,
+		full:       w.full / seconds,
 	}
 }
 
 // decide moves the limit according to one window.
 func (l *limiter) decide(now time.Time, s sample) {
+	if s.throughput == 0 {
+		l.backOff(now, s)
+		return
+	}
 	l.learnBaseline(now, s)
 	ratio := s.latency / l.baseline
 	defer func() { l.previous = s.throughput }()
 	switch {
-	case !s.saturated:
+	case s.full < saturatedPart:
 		l.demandGone(ratio)
+		if s.full >= bindingPart && ratio < growRatio && s.refused <= refusedPart {
+			l.grow(now, s, ratio)
+		}
 	case l.phase == startup:
 		l.start(now, s, ratio)
 	case l.phase == steady:
@@ -250,6 +259,16 @@
 	}
 }
 
+// backOff handles a window in which every call timed out. It has no throughput
+// to compare, and its latency is that of the deadlines. If calls queue here, the
+// limit must fall for any of them to be served; if they hang elsewhere, nothing
+// is lost. The initial limit is the floor, so that recovery does not start at
+// nothing.
+func (l *limiter) backOff(now time.Time, s sample) {
+	l.phase, l.growth, l.previous = steady, minGrowth, 0
+	l.set(now, max(l.limit/2, min(l.limit, l.initial)), s)
+}
+
 // learnBaseline lowers the baseline towards faster windows, and follows the
 // latency both ways while most of the limit is unused, since nothing queues
 // then. Under saturation only a verified cut may raise it: otherwise baseline
@@ -292,11 +311,27 @@
 		l.set(now, s.running/ratio*growRatio, s)
 		return
 	}
-	growth := startupGrowth
-	if l.reportedFull(now) {
-		growth = hintGrowth
+	l.grow(now, s, ratio)
+}
+
+// grow takes the next step up.
+func (l *limiter) grow(now time.Time, s sample, ratio float64) {
+	full := l.reportedFull(now)
+	if l.phase == startup {
+		growth := startupGrowth
+		if full {
+			growth = hintGrowth
+		}
+		l.set(now, l.limit*(1+growth), s)
+		return
+	}
+	headroom := min(1, (growRatio-ratio)/(growRatio-1))
+	step := l.limit * l.growth * headroom
+	if full {
+		step = 0
 	}
-	l.set(now, l.limit*(1+growth), s)
+	l.growth = min(2*l.growth, maxGrowth)
+	l.set(now, l.limit+max(1, step), s)
 }
 
 func (l *limiter) steer(now time.Time, s sample, ratio float64) {
@@ -306,13 +341,7 @@
 	case !quiet && (ratio > overRatio || s.refused > refusedPart || stale):
 		l.phase = suspect
 	case ratio < growRatio && s.refused <= refusedPart:
-		headroom := min(1, (growRatio-ratio)/(growRatio-1))
-		step := l.limit * l.growth * headroom
-		if l.reportedFull(now) {
-			step = 0
-		}
-		l.growth = min(2*l.growth, maxGrowth)
-		l.set(now, l.limit+max(1, step), s)
+		l.grow(now, s, ratio)
 	default:
 		l.growth = minGrowth
 	}
@@ -336,7 +365,7 @@
 // server that does not queue, and by Little's law the throughput before the
 // cuts needs this latency times that throughput in concurrent calls.
 func (l *limiter) judge(now time.Time, s sample) {
-	if l.anchor.throughput > 0 && s.throughput > l.anchor.throughput*changedGain {
+	if s.throughput > l.anchor.throughput*changedGain {
 		l.phase = steady
 		l.set(now, l.anchorLimit, s)
 		return
@@ -356,9 +385,6 @@
 }
 
 func (l *limiter) belowKnee(s sample) bool {
-	if l.anchor.throughput == 0 {
-		return s.throughput == 0
-	}
 	kept := s.throughput / l.anchor.throughput
 	elasticity := math.Log(kept) / math.Log(s.running/l.anchor.running)
 	return kept < kneeLoss || elasticity > kneeElasticity
--- a/internal/admission/limit_test.go
+++ b/internal/admission/limit_test.go
@@ -114,6 +114,17 @@
 	}
 }
 
+// TestTimeoutsLowerTheLimit guards against a limit that stays where no call is
+// served, since latency and throughput then show nothing.
+func TestTimeoutsLowerTheLimit(t *testing.T) {
+	l := newLimiter(Config{}.withDefaults(), epoch)
+	l.limit = 200
+	b := &backend{slots: 15, service: 20 * time.Millisecond, kind: "thrashes", slow: slowFrom10To20, rnd: rand.New(rand.NewPCG(1, 2))}
+	s := &span{from: 5 * time.Second, to: 10 * time.Second}
+	saturate(&l, b, []*span{s})
+	atLeast(t, "throughput", s.throughput()*b.service.Seconds()/15, 0.85)
+}
+
 func atLeast(t *testing.T, what string, got, want float64) {
 	t.Helper()
 	if got < want {
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -21,7 +21,8 @@
 
 // backend models a backend server with exponential service times. Its kinds:
 // "queue" holds calls beyond its slots in a queue, "shared" slows all of them
-// down, "sheds" refuses them; "async" queues, but calls hold no slot while they
+// down, "sheds" refuses them, "thrashes" serves none if there are twice as many,
+// within a deadline of 100 ms; "async" queues, but calls hold no slot while they
 // wait for the service behind.
 type backend struct {
 	slots   int
@@ -44,6 +45,9 @@
 		own = time.Duration(float64(own) * math.Max(1, float64(n)/float64(b.slots)))
 		return callEnd{t, t + own + behind, Served}
 	}
+	if b.kind == "thrashes" && n > 2*b.slots {
+		return callEnd{t, t + 100*time.Millisecond, TimedOut}
+	}
 	first := slices.Index(b.free, slices.Min(b.free))
 	begin := max(t, b.free[first])
 	if b.kind == "sheds" && begin > t {
--- a/internal/admission/play_test.go
+++ b/internal/admission/play_test.go
@@ -14,6 +14,7 @@
 	at         time.Duration
 	service    time.Duration
 	deadline   time.Duration // after at; 0 for none
+	giveUp     time.Duration // its caller stops waiting this long after at; 0 for never
 
 	ticket         *Ticket
 	started, ended bool
@@ -56,6 +57,7 @@
 			p.arrive(&p.calls[i])
 			i++
 		default:
+			p.cancel(i)
 			start, refuse := p.c.Tick(at(p.now))
 			p.refuse(refuse)
 			p.start(start)
@@ -86,6 +88,18 @@
 	}
 }
 
+// cancel ends the calls that wait for longer than their callers do.
+func (p *player) cancel(arrived int) {
+	for i := range p.calls[:arrived] {
+		c := &p.calls[i]
+		if c.giveUp > 0 && !c.started && !c.ended && p.now >= c.at+c.giveUp {
+			p.start(p.c.Cancel(at(p.now), c.ticket))
+			c.refusal = request.Refuse(request.ReasonCancelled, time.Second)
+			p.end(c)
+		}
+	}
+}
+
 func (p *player) run(c *call, waited bool) {
 	if c.started {
 		panic("call started twice")
