Move traces apart from failure files and use plain names

rapid writes the input of a failed test to testdata/rapid, which TestTraces then read as a trace and failed too. Names in tests and constants that were figurative become plain ones. No behaviour changes.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -112,14 +112,14 @@
 	if remaining <= 0 {
 		return c.refuse(request.ReasonDeadline, a.Importance)
 	}
-	hopeless := float64(remaining) < c.serviceTime
+	tooShort := float64(remaining) < c.serviceTime
 	if c.running < c.limiter.slots() && c.queue.queued == 0 {
-		if hopeless && float64(c.running) >= trickleShare*c.limiter.limit {
+		if tooShort && float64(c.running) >= trickleShare*c.limiter.limit {
 			return c.refuse(request.ReasonDeadline, a.Importance)
 		}
 		return Decision{Verdict: Run}
 	}
-	if hopeless {
+	if tooShort {
 		return c.refuse(request.ReasonDeadline, a.Importance)
 	}
 	return c.enqueue(sh, tn, a.Importance, remaining)
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -173,7 +173,7 @@
 	const slots, capacity, seconds = 35, 35 / 0.020, 5
 	for seed := range uint64(3) {
 		rnd := rand.New(rand.NewPCG(seed, 1))
-		calls := poisson(nil, rnd, "hog", 10*capacity/8, seconds*time.Second)
+		calls := poisson(nil, rnd, "large", 10*capacity/8, seconds*time.Second)
 		for i := range 7 {
 			calls = poisson(calls, rnd, fmt.Sprintf("small %d", i), 0.8*capacity/8, seconds*time.Second)
 		}
--- a/internal/admission/trace_test.go
+++ b/internal/admission/trace_test.go
@@ -42,9 +42,9 @@
 	tr.text = ""
 }
 
-// TestTraces guards the policies that the traces in testdata show.
+// TestTraces guards the policies that the traces in testdata/traces show.
 func TestTraces(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/traces", func(t *testing.T, path string) {
 		tr := &tracer{now: epoch, tickets: map[string]*Ticket{}}
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			tr.out.Reset()
--- a/internal/pressure/doc.go
+++ b/internal/pressure/doc.go
@@ -40,7 +40,7 @@
 // so that it stays short of shedding while the queues before it are full.
 //
 // Requests of the highest importance pass: their fate is decided by the guards.
-// Others are also refused if the time they have left is hopeless against the
+// Others are also refused if the time they have left is too short against the
 // typical time of a service on the route.
 //
 // # Workspaces
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -145,8 +145,8 @@
 }
 
 // newGraph takes nil for the policy that learns chances. There are eight
-// workspaces; w0 sends hogFactor times as much as each other one.
-func newGraph(seed uint64, ingressCount, hogFactor int, admit policy) *graph {
+// workspaces; w0 sends largeFactor times as much as each other one.
+func newGraph(seed uint64, ingressCount, largeFactor int, admit policy) *graph {
 	g := &graph{rnd: rand.New(rand.NewPCG(seed, 3)), admit: admit, chances: chances{}}
 	if admit == nil {
 		g.admit = g.chances.admit
@@ -164,7 +164,7 @@
 		for at := 0.0; at < modelEnd.Seconds(); at += g.rnd.ExpFloat64() / rate {
 			q := &graphRequest{
 				Request: Request{
-					Route: route, Workspace: fmt.Sprintf("w%d", max(0, g.rnd.IntN(7+hogFactor)-hogFactor+1)),
+					Route: route, Workspace: fmt.Sprintf("w%d", max(0, g.rnd.IntN(7+largeFactor)-largeFactor+1)),
 					Importance: request.Importance(g.rnd.IntN(request.NumImportance)), Remaining: modelDeadline,
 				},
 				ingress: ingresses[g.rnd.IntN(len(ingresses))], last: last, sent: time.Duration(at * float64(time.Second)),
@@ -310,10 +310,10 @@
 
 const modelSeeds = 3
 
-func simulate(ingresses, hogFactor int, admit policy) *figures {
+func simulate(ingresses, largeFactor int, admit policy) *figures {
 	f := &figures{}
 	for seed := range uint64(modelSeeds) {
-		g := newGraph(seed, ingresses, hogFactor, admit)
+		g := newGraph(seed, ingresses, largeFactor, admit)
 		g.run()
 		g.add(&f.deep, "deep", slowFrom+time.Second, slowUntil)
 		g.add(&f.shallow, "shallow", slowFrom+time.Second, slowUntil)
@@ -333,21 +333,21 @@
 	// Few requests per ingress make hints rare and the backlog level coarse.
 	wasteSaved := map[int]float64{4: 4, 100: 1.5}
 	for _, ingresses := range []int{4, 100} {
-		for _, hog := range []int{1, 35} {
+		for _, large := range []int{1, 35} {
 			results := map[string]*figures{}
 			for _, name := range []string{"none", "chance", "pressure, no shares", "pressure"} {
-				f := simulate(ingresses, hog, policies[name])
+				f := simulate(ingresses, large, policies[name])
 				results[name] = f
 				t.Logf("| %s | %d | %d | %.0f | %.3f | %.3f | %.3f | %.3f | %.3f | %.4f | %.4f |",
-					name, ingresses, hog, f.goodput(), f.wasted(), f.deep.critical.part(), f.deep.small.part(),
+					name, ingresses, large, f.goodput(), f.wasted(), f.deep.critical.part(), f.deep.small.part(),
 					f.shallow.all.part(), f.shallow.small.part(), f.before.all.part(), f.after.all.part())
 			}
-			name := fmt.Sprintf("%d ingresses, factor %d: ", ingresses, hog)
+			name := fmt.Sprintf("%d ingresses, factor %d: ", ingresses, large)
 			f, none := results["pressure"], results["none"]
 			atLeast(t, name+"goodput", f.goodput(), 0.9*slowCapacity)
 			atLeast(t, name+"before", f.before.all.part(), 0.999)
 			atLeast(t, name+"after", f.after.all.part(), 0.995)
-			if hog > 1 {
+			if large > 1 {
 				atLeast(t, name+"small workspaces", f.deep.small.part(), 0.97)
 				atLeast(t, name+"small workspaces on the other route", f.shallow.small.part(), 0.99)
 				continue
--- a/internal/pressure/table.go
+++ b/internal/pressure/table.go
@@ -45,9 +45,9 @@
 	// backlogStep bounds the time that one hint stands for.
 	backlogStep = 500 * time.Millisecond
 
-	// hopelessPart of the typical service time is too little for a request.
+	// Less than minTimePart of the typical service time is too little for a request.
 	// Calls take less than the mean more often than not.
-	hopelessPart = 0.5
+	minTimePart = 0.5
 
 	// Bounds of Retry-After before jitter.
 	minRetryAfter = 100 * time.Millisecond
@@ -212,7 +212,7 @@
 		if shed := min(max(s.tightness()*fresh-float64(imp), 0), 1); shed > risk {
 			tight, risk, reason = s, shed, request.ReasonDownstream
 		}
-		if remaining.Seconds() < hopelessPart*s.serviceTime && fresh > risk {
+		if remaining.Seconds() < minTimePart*s.serviceTime && fresh > risk {
 			tight, risk, reason = s, fresh, request.ReasonDeadline
 		}
 	}
