--- a/internal/admission/play_test.go
+++ b/internal/admission/play_test.go
@@ -1,7 +1,7 @@
 package admission
 
 import (
-	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/request"
@@ -14,11 +14,11 @@
 	at         time.Duration
 	service    time.Duration
 	deadline   time.Duration // after at; 0 for none
+	giveUp     time.Duration // its caller stops waiting this long after at; 0 for never
 
 	ticket         *Ticket
 	started, ended bool
 	refusal        request.Refusal
-	wait           time.Duration // until it started
 	finished       time.Duration
 }
 
@@ -27,13 +27,12 @@
 	c      *Controller
 	calls  []call
 	server *backend // determines the end of a call; nil if it only takes its service time
-	active endHeap
+	active []callEnd
 	byEnd  map[callEnd][]*call
 	now    time.Duration
 	// observe is called before each step that may start or refuse calls.
 	observe func()
 	started func(*call, bool) // the flag tells whether it had waited
-	refused func(*call)
 }
 
 // play runs the workload, sorted by time, to its end.
@@ -58,6 +57,7 @@
 			p.arrive(&p.calls[i])
 			i++
 		default:
+			p.cancel(i)
 			start, refuse := p.c.Tick(at(p.now))
 			p.refuse(refuse)
 			p.start(start)
@@ -88,17 +88,29 @@
 	}
 }
 
+// cancel ends the calls that wait for longer than their callers do.
+func (p *player) cancel(arrived int) {
+	for i := range p.calls[:arrived] {
+		c := &p.calls[i]
+		if c.giveUp > 0 && !c.started && !c.ended && p.now >= c.at+c.giveUp {
+			p.start(p.c.Cancel(at(p.now), c.ticket))
+			c.refusal = request.Refuse(request.ReasonCancelled, time.Second)
+			p.end(c)
+		}
+	}
+}
+
 func (p *player) run(c *call, waited bool) {
 	if c.started {
 		panic("call started twice")
 	}
-	c.started, c.wait = true, p.now-c.at
+	c.started = true
 	e := callEnd{p.now, p.now + c.service, Served}
 	if p.server != nil {
 		e = p.server.serve(p.now, len(p.active)+1)
 	}
 	p.byEnd[e] = append(p.byEnd[e], c)
-	heap.Push(&p.active, e)
+	p.active = insert(p.active, e)
 	if p.started != nil {
 		p.started(c, waited)
 	}
@@ -119,7 +131,8 @@
 }
 
 func (p *player) finish() {
-	e := heap.Pop(&p.active).(callEnd)
+	e := p.active[0]
+	p.active = p.active[1:]
 	c := p.byEnd[e][0]
 	p.byEnd[e] = p.byEnd[e][1:]
 	c.finished = p.now
@@ -132,9 +145,6 @@
 		panic("call ended twice")
 	}
 	c.ended = true
-	if c.refusal.Reason != "" && p.refused != nil {
-		p.refused(c)
-	}
 }
 
 // naiveWaits returns how long each call waits with fixed slots and one
@@ -143,12 +153,7 @@
 	free := make([]time.Duration, slots)
 	waits := make([]time.Duration, len(calls))
 	for i, c := range calls {
-		first := 0
-		for j := range free {
-			if free[j] < free[first] {
-				first = j
-			}
-		}
+		first := slices.Index(free, slices.Min(free))
 		begin := max(c.at, free[first])
 		waits[i], free[first] = begin-c.at, begin+c.service
 	}
