--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -143,7 +143,7 @@
 // Serve runs a call or refuses it. The context ends when the caller goes away.
 func (g *Guard) Serve(ctx context.Context, c *call.Call) *call.Response {
 	resp := g.serve(ctx, c)
-	resp.Load = g.load(c, resp.Load.Hints)
+	resp.Load.Encoded = g.parts.Limiter.Load().Encoded
 	resp.Draining = g.backend.Draining() || g.isDraining()
 	return resp
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -122,7 +122,7 @@
 	resp := in.attempts(ctx, c)
 	giveBack(resp.BudgetUnused)
 	if parent != nil {
-		parent.Learn(resp.Load.Hints)
+		parent.Learn(c.Service, resp.Load)
 	}
 	if resp.Rest == nil {
 		cancel()
