--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -57,6 +57,7 @@
 func play(h history, f faults) string {
 	f.loss, f.duplicate, f.delay = h.loss, h.duplicate, 2*time.Second
 	s := newSim(h.seed, h.limit, f)
+	s.interval = 25 * time.Millisecond // fewer events
 	s.run(settleWait)
 	limit, widest, first, centres := h.limit, h.limit, 0, simCentres
 	for _, step := range h.steps {
