--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -56,6 +56,7 @@
 	inherited  int64 // outstanding tokens of the predecessor
 	inheritEnd time.Time
 	borrowers  map[string]*debtor
+	order      []*debtor // the same in a fixed order, so that sums of floats are reproducible
 	swept      time.Time
 	relay      relay
 }
@@ -79,6 +80,7 @@
 
 // debtor is what the lender knows of a borrower.
 type debtor struct {
+	name     string
 	sequence uint64
 	answer   Grant
 	demand   float64
@@ -192,24 +194,35 @@
 // used.
 func (l *Lender) sweep(now time.Time) {
 	l.swept = now
-	for name, d := range l.borrowers {
-		kept := d.loans[:0]
-		for _, n := range d.loans {
-			switch {
-			case now.After(n.ends):
-				l.settle(now, &n, 0, n.held())
-			case n.held() > 0:
-				kept = append(kept, n)
-			}
-		}
-		d.loans = kept
-		if len(kept) == 0 && now.Sub(d.seen) > idleBorrower {
-			delete(l.borrowers, name)
+	remembered := l.order[:0]
+	for _, d := range l.order {
+		l.dropEnded(now, d)
+		if len(d.loans) == 0 && now.Sub(d.seen) > idleBorrower {
+			delete(l.borrowers, d.name)
+			continue
 		}
+		remembered = append(remembered, d)
 	}
+	clear(l.order[len(remembered):])
+	l.order = remembered
 	l.relay.expire(now)
 }
 
+// dropEnded drops the loans of a borrower that have ended or have nothing left.
+func (l *Lender) dropEnded(now time.Time, d *debtor) {
+	kept := d.loans[:0]
+	for _, n := range d.loans {
+		switch {
+		case now.After(n.ends):
+			l.settle(now, &n, 0, n.held())
+		case n.held() > 0:
+			kept = append(kept, n)
+		}
+	}
+	clear(d.loans[len(kept):])
+	d.loans = kept
+}
+
 // settle accounts for tokens of a loan that are given up or used. It does not
 // matter which source they are assigned to, because the borrower could take any
 // of them until the same time.
@@ -238,8 +251,9 @@
 	}
 	d := l.borrowers[r.Borrower]
 	if d == nil {
-		d = &debtor{}
+		d = &debtor{name: r.Borrower}
 		l.borrowers[r.Borrower] = d
+		l.order = append(l.order, d)
 	}
 	if r.Sequence == d.sequence {
 		return d.answer
@@ -328,7 +342,7 @@
 
 // localDemand returns the demand of the own data centre in tokens per second.
 func (l *Lender) localDemand(now time.Time) (sum float64) {
-	for _, d := range l.borrowers {
+	for _, d := range l.order {
 		if !d.relay {
 			sum += d.demand * math.Exp(-max(0, now.Sub(d.seen).Seconds())/demandWindow.Seconds())
 		}
--- a/internal/quota/relay.go
+++ b/internal/quota/relay.go
@@ -57,7 +57,7 @@
 		return 0
 	}
 	need := math.Floor(l.localDemand(now)*l.ahead().Seconds()) - l.level
-	for _, d := range l.borrowers {
+	for _, d := range l.order {
 		if !d.relay && now.Sub(d.seen) < minAhead {
 			need += float64(d.short)
 		}
