--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -132,19 +132,6 @@
 	}
 }
 
-func requestFromPB(r *peerpb.ExchangeRequest) membership.Exchange {
-	return membership.Exchange{
-		Self:              memberFromPB(r.GetSelf()),
-		Members:           membersFromPB(r.GetMembers()),
-		Evidence:          evidenceFromPB(r.GetEvidence()),
-		Seq:               r.GetSeq(),
-		RevocationsDigest: r.GetRevocationsDigest(),
-		Revocations:       digestsFromPB(r.GetRevocations()),
-		MembersDigest:     r.GetMembersDigest(),
-		Full:              r.GetFull(),
-	}
-}
-
 func responseToPB(e membership.Exchange, quarantine []byte) *peerpb.ExchangeResponse {
 	return &peerpb.ExchangeResponse{
 		Self:              memberToPB(e.Self),
@@ -158,16 +145,28 @@
 	}
 }
 
-// responseFromPB reads a response to a request that asked for the full table or not.
-func responseFromPB(r *peerpb.ExchangeResponse, full bool) membership.Exchange {
+// exchangeMessage is what requests and responses have in common.
+type exchangeMessage interface {
+	GetSelf() *peerpb.Member
+	GetMembers() []*peerpb.Member
+	GetEvidence() []*peerpb.Evidence
+	GetSeq() int64
+	GetRevocationsDigest() uint64
+	GetRevocations() [][]byte
+	GetMembersDigest() uint64
+}
+
+// exchangeFromPB reads a request, or a response to one, that asked for the full
+// table or not.
+func exchangeFromPB(m exchangeMessage, full bool) membership.Exchange {
 	return membership.Exchange{
-		Self:              memberFromPB(r.GetSelf()),
-		Members:           membersFromPB(r.GetMembers()),
-		Evidence:          evidenceFromPB(r.GetEvidence()),
-		Seq:               r.GetSeq(),
-		RevocationsDigest: r.GetRevocationsDigest(),
-		Revocations:       digestsFromPB(r.GetRevocations()),
-		MembersDigest:     r.GetMembersDigest(),
+		Self:              memberFromPB(m.GetSelf()),
+		Members:           membersFromPB(m.GetMembers()),
+		Evidence:          evidenceFromPB(m.GetEvidence()),
+		Seq:               m.GetSeq(),
+		RevocationsDigest: m.GetRevocationsDigest(),
+		Revocations:       digestsFromPB(m.GetRevocations()),
+		MembersDigest:     m.GetMembersDigest(),
 		Full:              full,
 	}
 }
--- a/internal/control/gossip.go
+++ b/internal/control/gossip.go
@@ -68,7 +68,7 @@
 }
 
 func (c *Control) answer(ctx context.Context, s *state, sent time.Time, from string, a membership.Action, resp *peerpb.ExchangeResponse) {
-	s.members.Answer(sent, time.Now(), from, responseFromPB(resp, a.Full))
+	s.members.Answer(sent, time.Now(), from, exchangeFromPB(resp, a.Full))
 	c.quarantineIn(resp.GetSelf().GetId(), resp.GetQuarantine())
 	c.fetchIfBehind(ctx, s, a.Address, resp.GetSeq())
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -21,8 +21,14 @@
 	errNoState    = twirp.Unavailable.Error("node has no state yet")
 )
 
+// maxRequest bounds a request of a peer, in bytes. The largest is a push of many
+// settings changes.
+const maxRequest = 16 << 20
+
 // Handler serves the twirp services of the node on the peer listener.
-func (c *Control) Handler() http.Handler { return peer.Identify(peerpb.NewPeerServer(c)) }
+func (c *Control) Handler() http.Handler {
+	return http.MaxBytesHandler(peer.Identify(peerpb.NewPeerServer(c)), maxRequest)
+}
 
 // checkSender rejects a message that claims to be from another node than the
 // client's certificate says.
@@ -48,7 +54,7 @@
 	var resp *peerpb.ExchangeResponse
 	if !c.do(ctx, func(s *state) {
 		c.quarantineIn(req.GetSelf().GetId(), req.GetQuarantine())
-		resp = responseToPB(s.members.Handle(time.Now(), requestFromPB(req)), c.quarantineOut())
+		resp = responseToPB(s.members.Handle(time.Now(), exchangeFromPB(req, req.GetFull())), c.quarantineOut())
 	}) {
 		return nil, errBusy
 	}
@@ -79,7 +85,7 @@
 	if err != nil || resp.GetSelf().GetId() != a.Peer.ID {
 		return &peerpb.ProbeResponse{}, nil
 	}
-	c.do(ctx, func(s *state) { s.members.Answer(sent, time.Now(), a.Peer.ID, responseFromPB(resp, false)) })
+	c.do(ctx, func(s *state) { s.members.Answer(sent, time.Now(), a.Peer.ID, exchangeFromPB(resp, false)) })
 	return &peerpb.ProbeResponse{Reached: true, Target: resp.GetSelf()}, nil
 }
 
