--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -21,8 +21,14 @@
 	errNoState    = twirp.Unavailable.Error("node has no state yet")
 )
 
+// maxRequest bounds a request of a peer, in bytes. The largest is a push of many
+// settings changes.
+const maxRequest = 16 << 20
+
 // Handler serves the twirp services of the node on the peer listener.
-func (c *Control) Handler() http.Handler { return peer.Identify(peerpb.NewPeerServer(c)) }
+func (c *Control) Handler() http.Handler {
+	return http.MaxBytesHandler(peer.Identify(peerpb.NewPeerServer(c)), maxRequest)
+}
 
 // checkSender rejects a message that claims to be from another node than the
 // client's certificate says.
@@ -49,7 +55,7 @@
 	if !c.do(ctx, func(s *state) {
 		quarantine := c.quarantineReply(req.GetSelf().GetId(), req.GetQuarantine())
 		c.noteSettled(req.GetSettledSeq())
-		resp = responseToPB(s.members.Handle(time.Now(), requestFromPB(req)), quarantine)
+		resp = responseToPB(s.members.Handle(time.Now(), exchangeFromPB(req, req.GetFull())), quarantine)
 		resp.SettledSeq = c.SettledSeq()
 	}) {
 		return nil, errBusy
@@ -81,7 +87,7 @@
 	if err != nil || resp.GetSelf().GetId() != a.Peer.ID {
 		return &peerpb.ProbeResponse{}, nil
 	}
-	c.do(ctx, func(s *state) { s.members.Answer(sent, time.Now(), a.Peer.ID, responseFromPB(resp, false)) })
+	c.do(ctx, func(s *state) { s.members.Answer(sent, time.Now(), a.Peer.ID, exchangeFromPB(resp, false)) })
 	return &peerpb.ProbeResponse{Reached: true, Target: resp.GetSelf()}, nil
 }
 
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -20,7 +20,8 @@
 	// some of them, if the digests differ.
 	RevocationsDigest uint64
 	Revocations       []Digest
-	MembersDigest     uint64
+	// MembersDigest covers the sender's table; zero if it has not got one yet.
+	MembersDigest uint64
 	// Full asks for the whole table; a response with it has the whole table.
 	Full bool
 }
@@ -67,14 +68,10 @@
 	}
 	s.mergeAll(now, e)
 	if e.Full {
+		s.join(e)
 		s.lastFull = now
-		s.fullDue = false
-		first := !s.joined
-		s.joined = true
+		s.fullDue = !s.joined
 		s.differed = time.Time{}
-		if first {
-			s.queue = nil // others know these already
-		}
 	}
 	s.compareDigests(now, e.MembersDigest)
 	if r, ok := s.members[e.Self.ID]; ok {
@@ -85,6 +82,30 @@
 	}
 }
 
+// join decides whether a response completes the member table. A responder without
+// a table does not know how many data centres there are. When a whole fleet
+// starts, nobody has one; then the responses of most seeds together make it.
+func (s *State) join(e Exchange) {
+	if s.joined {
+		return
+	}
+	if _, ok := s.seeds[e.Self.PeerAddress]; ok {
+		s.seeds[e.Self.PeerAddress] = true
+	}
+	reached := 0
+	for _, ok := range s.seeds {
+		if ok {
+			reached++
+		}
+	}
+	s.joined = e.MembersDigest != 0 || 2*reached > len(s.seeds)
+	if e.MembersDigest != 0 {
+		for _, r := range s.queue {
+			r.sends = 0 // others know these already
+		}
+	}
+}
+
 // Failed takes the failure of an exchange with a member and returns the indirect
 // probes to make; the result of them goes to Probed.
 func (s *State) Failed(now time.Time, peer Member, rnd *rand.Rand) []Action {
@@ -147,8 +168,15 @@
 		Evidence:          s.evidenceList(now),
 		Seq:               s.seq,
 		RevocationsDigest: s.early.digest,
-		MembersDigest:     s.digest,
+		MembersDigest:     s.tableDigest(),
+	}
+}
+
+func (s *State) tableDigest() uint64 {
+	if !s.joined {
+		return 0
 	}
+	return s.digest
 }
 
 func (s *State) mergeAll(now time.Time, e Exchange) {
@@ -161,6 +189,7 @@
 
 func (s *State) compareDigests(now time.Time, theirs uint64) {
 	switch {
+	case theirs == 0:
 	case theirs == s.digest:
 		s.differed = time.Time{}
 	case s.differed.IsZero():
@@ -172,7 +201,8 @@
 
 func (s *State) enqueue(r *record) {
 	if r.sends == 0 {
-		s.queue = append(s.queue, r.ID)
+		s.queue = slices.DeleteFunc(s.queue, func(q *record) bool { return q == r })
+		s.queue = append(s.queue, r)
 	}
 	r.sends = transmissions(len(s.members) + 1)
 }
@@ -184,16 +214,15 @@
 	if r, ok := s.members[peer]; ok && r.Status != Alive {
 		out = append(out, r.Member)
 	}
-	s.queue = slices.DeleteFunc(s.queue, func(id string) bool { return s.members[id] == nil || s.members[id].sends == 0 })
-	slices.SortStableFunc(s.queue, func(a, b string) int { return s.members[b].sends - s.members[a].sends })
-	for _, id := range s.queue {
+	s.queue = slices.DeleteFunc(s.queue, func(r *record) bool { return r.sends == 0 })
+	slices.SortStableFunc(s.queue, func(a, b *record) int { return b.sends - a.sends })
+	for _, r := range s.queue {
 		if len(out) >= s.cfg.MaxDeltas {
 			break
 		}
-		if id == peer || slices.ContainsFunc(skip, func(m Member) bool { return m.ID == id }) {
+		if r.ID == peer || slices.ContainsFunc(skip, func(m Member) bool { return m.ID == r.ID }) {
 			continue
 		}
-		r := s.members[id]
 		r.sends--
 		out = append(out, r.Member)
 	}
@@ -202,7 +231,7 @@
 
 // fill returns the next records of a round through the table.
 func (s *State) fill() []Member {
-	ids := s.view().ids
+	ids := s.ids
 	var out []Member
 	for range min(fillers, len(ids)) {
 		s.filler = (s.filler + 1) % len(ids)
@@ -212,7 +241,7 @@
 }
 
 func (s *State) table() []Member {
-	ids := s.view().ids
+	ids := s.ids
 	out := make([]Member, 0, min(len(ids), s.cfg.MaxFull))
 	for _, id := range ids[:min(len(ids), s.cfg.MaxFull)] {
 		out = append(out, s.members[id].Member)
--- a/internal/membership/tick.go
+++ b/internal/membership/tick.go
@@ -90,11 +90,11 @@
 	return true
 }
 
-// addSeed tries a seed at the exchange rate while nobody is reachable, and rarely
+// addSeed tries a seed at the exchange rate until the node has joined, and rarely
 // otherwise, so that two halves of a fleet that forgot each other meet again.
 func (s *State) addSeed(out []Action, now time.Time, rnd *rand.Rand) []Action {
 	every := s.cfg.SeedRetry
-	if s.view().alive == 1 {
+	if s.view().alive == 1 || !s.joined {
 		every = s.cfg.Interval
 		if s.timers.seed.After(now.Add(every)) {
 			s.timers.seed = now
@@ -104,7 +104,7 @@
 		return out
 	}
 	address := pick(s.cfg.Seeds, rnd)
-	if id, known := s.addresses[address]; known && s.members[id].Status == Alive || address == s.self.PeerAddress {
+	if id, known := s.addresses[address]; known && s.joined && s.members[id].Status == Alive {
 		return out
 	}
 	return append(out, Action{Kind: DoExchange, Address: address, Full: s.askFull(now)})
@@ -158,13 +158,19 @@
 	v := s.view()
 	timeout := s.cfg.suspicionTimeout(v.alive)
 	mayForgetDead := s.majority(now)
-	for _, id := range v.ids {
-		r := s.members[id]
-		switch {
-		case r.Status == Suspect && now.Sub(r.since) >= timeout:
+	past := func(id string, d time.Duration) bool { return now.Sub(s.members[id].since) >= d }
+	for _, id := range v.suspect {
+		if past(id, timeout) {
 			s.setStatus(now, id, Dead)
-		case r.Status == Dead && mayForgetDead && now.Sub(r.since) >= s.cfg.ForgetDead,
-			r.Status == Left && now.Sub(r.since) >= s.cfg.ForgetLeft:
+		}
+	}
+	for _, id := range v.dead {
+		if mayForgetDead && past(id, s.cfg.ForgetDead) {
+			s.forget(id)
+		}
+	}
+	for _, id := range v.left {
+		if past(id, s.cfg.ForgetLeft) {
 			s.forget(id)
 		}
 	}
