Spill only when the difference exceeds the noise

At long calls the noise of the latency estimates exceeds the 3 ms to another data centre. Calls left local endpoints, which then kept their wrong estimates, and workers of one data centre stood idle.

--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"time"
 )
 
@@ -26,6 +27,7 @@
 
 	inFlight  int
 	latency   float64 // moving average, without the network
+	deviation float64 // moving mean of the distance of a sample from the average
 	latencyAt time.Time
 	trouble   float64 // share of refused and failed calls
 	troubleAt time.Time
@@ -73,6 +75,11 @@
 	return t/(1-min(trouble, maxTrouble)) + s.network
 }
 
+// noise estimates the standard error of the moving average of latency.
+func (s *state) noise() float64 {
+	return s.deviation * math.Sqrt(latencyWeight/2)
+}
+
 // score compares endpoints at the same distance. It raises the expected time by
 // the share of the concurrency limit that is in flight, because calls on their way
 // show in no other figure yet.
@@ -132,10 +139,12 @@
 	if r.Kind != Completed && (!known || sample <= s.latency) {
 		return
 	}
-	if known {
-		sample = s.latency + (sample-s.latency)*latencyWeight
+	if !known {
+		s.latency, s.latencyAt = sample, now
+		return
 	}
-	s.latency = sample
+	s.deviation += (math.Abs(sample-s.latency) - s.deviation) * latencyWeight
+	s.latency += (sample - s.latency) * latencyWeight
 	s.latencyAt = now
 }
 
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,6 +12,10 @@
 	// excluded or in slow start before all are scanned.
 	draws = 4
 
+	// noiseMargin is the number of standard errors by which a remote endpoint must
+	// be faster.
+	noiseMargin = 3
+
 	usualWeight = 0.05 // weight of one sample in the usual latency of the service
 )
 
@@ -72,7 +77,7 @@
 func (p *Picker) Pick(now time.Time, rnd *rand.Rand, exclude []string) (string, bool) {
 	p.refresh(now)
 	best, cost := p.better(now, rnd, p.tiers.local, exclude)
-	if remote, c := p.better(now, rnd, p.tiers.remote, exclude); best == nil || remote != nil && c < cost {
+	if remote, c := p.better(now, rnd, p.tiers.remote, exclude); best == nil || remote != nil && spills(best, cost, remote, c) {
 		best = remote
 	}
 	if best == nil {
@@ -115,6 +120,14 @@
 	return s.Address, true
 }
 
+// spills tells whether a remote endpoint is faster by more than the noise of both
+// estimates. With long calls the noise exceeds the 3 ms of the way, and a local
+// endpoint that is not used keeps its wrong estimate. Without the margin, a chain of
+// 23 services served 0.75 of its steady load in package model, with it 0.87.
+func spills(local *state, localCost float64, remote *state, remoteCost float64) bool {
+	return localCost-remoteCost > noiseMargin*math.Hypot(local.noise(), remote.noise())
+}
+
 func (p *Picker) observeUsual(sample float64) {
 	if !p.seen {
 		p.usual, p.seen = sample, true
