Add queueing model and cmd/measure

Compares random choice, fixed slots with an unbounded queue, three attempts at each hop and no deadlines with the packages admission, retry and routing under the same arrivals and work.

Calls beyond the slots now wait inside the backend server.

--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,84 @@
+// Command measure compares the decision core with a naive deployment in the
+// queueing model of package model and prints both as a table in Markdown.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+
+	"github.com/alecthomas/kong"
+	"github.com/teaselseam/teaselseam/internal/model"
+)
+
+type options struct {
+	Seeds    int    `help:"Number of seeds, counted from 1." default:"5"`
+	Parallel int    `help:"Runs at the same time; 0 means half of the processors." default:"0"`
+	Graph    string `help:"Measure this graph only." default:""`
+	Scenario string `help:"Measure this scenario only." default:""`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Name("measure"), kong.Description("Compare teaselseam with a naive deployment in a queueing model."))
+	if err := measure(os.Stdout, o); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
+
+func measure(w io.Writer, o options) error {
+	if o.Seeds < 1 {
+		return fmt.Errorf("%d seeds, want at least 1", o.Seeds)
+	}
+	var cases []model.Case
+	for _, c := range model.Cases() {
+		if (o.Graph == "" || o.Graph == c.Graph.Name) && (o.Scenario == "" || o.Scenario == c.Scenario.Name) {
+			cases = append(cases, c)
+		}
+	}
+	if len(cases) == 0 {
+		return fmt.Errorf("no case with graph %q and scenario %q", o.Graph, o.Scenario)
+	}
+	seeds := make([]uint64, o.Seeds)
+	for i := range seeds {
+		seeds[i] = uint64(i + 1)
+	}
+	parallel := o.Parallel
+	if parallel < 1 {
+		parallel = max(runtime.NumCPU()/2, 1)
+	}
+	fmt.Fprintf(w, "Seeds 1 to %d. Each cell is min / median / max.\n", o.Seeds)
+	for _, c := range model.Compare(cases, seeds, parallel) {
+		printCase(w, c)
+	}
+	return nil
+}
+
+func printCase(w io.Writer, c model.Compared) {
+	g, sc := c.Graph, c.Scenario
+	fmt.Fprintf(w, "\n### %s, %s (capacity %.0f/s, in the overload %.0f/s)\n\n", g.Name, sc.Name, g.Capacity(1), g.Capacity(sc.SlowLast))
+	fmt.Fprintln(w, "| Figure | naive | ours | target | reached |")
+	fmt.Fprintln(w, "|---|---|---|---|---|")
+	for _, q := range model.Quantities() {
+		ours := model.RangeOf(c.Ours, q.Figure)
+		reached := ""
+		if q.Met != nil {
+			reached = "no"
+			if q.Met(ours) {
+				reached = "yes"
+			}
+		}
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %s |\n", q.Name, cell(model.RangeOf(c.Naive, q.Figure)), cell(ours), q.Target, reached)
+	}
+}
+
+// cell prints a range with the digits that its size needs.
+func cell(r model.Range[float64]) string {
+	format := "%.3f / %.3f / %.3f"
+	if r.Max >= 10 {
+		format = "%.0f / %.0f / %.0f"
+	}
+	return fmt.Sprintf(format, r.Min, r.Median, r.Max)
+}
--- /dev/null
+++ b/internal/model/model_test.go
@@ -0,0 +1,84 @@
+package model
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func graph(t *testing.T, name string) Graph {
+	for _, g := range Graphs() {
+		if g.Name == name {
+			return g
+		}
+	}
+	t.Fatalf("no graph %q", name)
+	return Graph{}
+}
+
+// TestSeedsDecide guards against a run that depends on anything but its seed, such
+// as the order of a map or of goroutines.
+func TestSeedsDecide(t *testing.T) {
+	c := Case{graph(t, "harcourt/chain"), Scenarios()[5]}
+	first := Compare([]Case{c}, []uint64{1, 2}, 1)
+	second := Compare([]Case{c}, []uint64{1, 2}, 4)
+	if !reflect.DeepEqual(first[0].Ours, second[0].Ours) || !reflect.DeepEqual(first[0].Naive, second[0].Naive) {
+		t.Errorf("two runs differ: %+v and %+v", first[0], second[0])
+	}
+	if first[0].Ours[0] == first[0].Ours[1] {
+		t.Error("two seeds give the same run")
+	}
+}
+
+// TestServesLightLoad guards against a model that loses requests by itself: without
+// overload both versions serve everything, with no refusal and no retry of note.
+func TestServesLightLoad(t *testing.T) {
+	for _, v := range []Version{Naive, Ours} {
+		f := Run(graph(t, "obrecz/chain"), Scenarios()[0], v, 1)
+		if f.Worst < 0.999 || f.Wrongful > 0 || f.Amplification > 1.01 || f.Recovery != 0 {
+			t.Errorf("%s: %+v", v, f)
+		}
+	}
+}
+
+// TestCapacity guards the reference of all shares: the analytic capacity is what a
+// server that is never idle delivers, so no run may exceed it by more than noise.
+func TestCapacity(t *testing.T) {
+	g := graph(t, "obrecz/chain")
+	if c := g.Capacity(1); math.Abs(c-3000) > 1 {
+		t.Errorf("capacity %v, want 4*15 slots / 20 ms", c)
+	}
+	for _, name := range []string{"obrecz/chain", "harcourt/fan-out"} {
+		f := Run(graph(t, name), Scenarios()[1], Ours, 3)
+		if f.OfCapacity > 1.02 {
+			t.Errorf("%s: goodput is %.3f of the capacity", name, f.OfCapacity)
+		}
+	}
+}
+
+// TestOursBeatsNaive guards against a change of the core that makes a surge worse
+// than in the naive version, or that does not recover.
+func TestOursBeatsNaive(t *testing.T) {
+	got := Compare([]Case{{graph(t, "harcourt/chain"), Scenarios()[1]}}, []uint64{1, 2}, 2)[0]
+	for i := range got.Ours {
+		if got.Ours[i].Goodput < 2*got.Naive[i].Goodput || got.Ours[i].Recovery > time.Second {
+			t.Errorf("naive %+v, ours %+v", got.Naive[i], got.Ours[i])
+		}
+	}
+}
+
+// TestEventOrder guards against events that run out of order or, at the same time,
+// in another order than they were added.
+func TestEventOrder(t *testing.T) {
+	var q events
+	var got []int
+	for i, at := range []time.Duration{5, 1, 3, 1, 5, 2} {
+		q.after(at, func() { got = append(got, i) })
+	}
+	for q.step(4) {
+	}
+	if want := []int{1, 3, 5, 2}; !reflect.DeepEqual(got, want) {
+		t.Errorf("order %v, want %v", got, want)
+	}
+}
--- /dev/null
+++ b/internal/model/ours.go
@@ -0,0 +1,91 @@
+package model
+
+import (
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/retry"
+	"github.com/teaselseam/teaselseam/internal/routing"
+)
+
+// ingress is the state of one node's ingress.
+type ingress struct {
+	id      string
+	dc      int
+	targets map[int]*target // by service
+}
+
+// target is what an ingress keeps for one service.
+type target struct {
+	picker *routing.Picker
+	policy retry.Policy
+}
+
+// ours uses the decision core.
+type ours struct {
+	w *world
+}
+
+func (o *ours) newGate(*worker) gate {
+	return newAdmissionGate(o.w.q.time(), o.w.rnd)
+}
+
+// target returns the state of an ingress for a service, created at its first use.
+func (o *ours) target(in *ingress, service int) *target {
+	t := in.targets[service]
+	if t == nil {
+		nodes := len(o.w.byID)
+		t = &target{
+			picker: routing.NewPicker(routing.DefaultConfig(in.id, nodes, nodes/dataCentres), dcName(in.dc)),
+			policy: retry.Policy{
+				Ratio:   retry.NewRatio(retry.DefaultRatioConfig(), o.w.q.time()),
+				Backoff: retry.DefaultBackoff(),
+			},
+		}
+		t.picker.SetEndpoints(o.w.q.time(), o.w.endpoints(service))
+		in.targets[service] = t
+	}
+	return t
+}
+
+func (o *ours) begin(c *call) {
+	c.try()
+}
+
+func (o *ours) pick(c *call) (string, bool) {
+	t := o.target(c.from, c.service)
+	if c.tries == 0 {
+		t.policy.Ratio.First(o.w.q.time())
+	}
+	return t.picker.Pick(o.w.q.time(), o.w.rnd, c.tried)
+}
+
+func (o *ours) retry(c *call, r result) (time.Duration, bool) {
+	a := retry.Attempt{
+		Outcome: r.outcome, Idempotent: c.req.idempotent, Downstream: r.downstream,
+		Retries: c.tries - 1, Remaining: c.req.deadline - o.w.q.now,
+	}
+	return o.target(c.from, c.service).policy.Next(o.w.q.time(), a, c.budget, o.w.rnd)
+}
+
+func (o *ours) observed(a *attempt, r result, report routing.Report) {
+	o.target(a.call.from, a.call.service).picker.Done(o.w.q.time(), a.worker.id, routing.Result{
+		Kind: kindOf(r), Latency: o.w.q.now - a.sent, Load: &report,
+	})
+}
+
+func (o *ours) cancelled(c *call, a *attempt) {
+	o.target(c.from, c.service).picker.Done(o.w.q.time(), a.worker.id, routing.Result{
+		Kind: routing.Cancelled, Latency: o.w.q.now - a.sent,
+	})
+}
+
+func (o *ours) attemptTimeout() time.Duration { return 0 }
+func (o *ours) passesDeadline() bool          { return true }
+
+func (o *ours) endpointsChanged(service int) {
+	for _, in := range o.w.ingresses {
+		if t := in.targets[service]; t != nil {
+			t.picker.SetEndpoints(o.w.q.time(), o.w.endpoints(service))
+		}
+	}
+}
