--- a/internal/model/call.go
+++ b/internal/model/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/admission"
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/retry"
 )
@@ -16,6 +17,8 @@
 	downstream bool          // the cause lies in a nested call
 	retryAfter time.Duration // of the refusal
 	unused     int           // retry budget that comes back
+	load       pressure.Load // of the worker that answers
+	hints      []pressure.Hint
 }
 
 // refused returns the result of a refusal.
@@ -67,6 +70,7 @@
 	nested  []*call
 	waiting int // nested calls without result
 	worst   result
+	hints   []pressure.Hint // on the services called by this attempt and below
 }
 
 // try sends the next attempt.
@@ -195,6 +199,7 @@
 
 // note keeps the worst result of the nested calls.
 func (a *attempt) note(r result) {
+	a.hints = append(a.hints, r.hints...)
 	if a.worst.completed() {
 		a.worst = r
 	}
@@ -242,10 +247,10 @@
 func (a *attempt) respond(r result) {
 	k := a.worker
 	r.unused = a.budget.Close()
-	report := k.report()
+	r.load, r.hints = k.report(), pressure.Merge(a.hints)
 	k.w.q.after(a.call.delay(k), func() {
 		if !a.over {
-			k.w.policy.observed(a, r, report)
+			r.hints = k.w.policy.observed(a, r)
 			a.receive(r)
 		}
 	})
--- a/internal/model/gate.go
+++ b/internal/model/gate.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/admission"
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
-	"github.com/teaselseam/teaselseam/internal/routing"
 )
 
 // gate is the admission of one worker.
@@ -25,7 +25,7 @@
 	// restart is called after the backend server restarted. No call is left.
 	restart(now time.Time)
 	// report returns the figures that ride on responses.
-	report(now time.Time) routing.Report
+	report() pressure.Load
 }
 
 // fixedGate runs a fixed number of calls and queues the others without bound.
@@ -65,8 +65,8 @@
 
 func (g *fixedGate) restart(time.Time) {}
 
-func (g *fixedGate) report(time.Time) routing.Report {
-	return routing.Report{Limit: g.slots}
+func (g *fixedGate) report() pressure.Load {
+	return pressure.Load{Limit: g.slots}
 }
 
 // queueTick is the time between ticks of admissionGate.
@@ -113,9 +113,8 @@
 
 func (g *admissionGate) restart(now time.Time) { g.c.Restart(now) }
 
-func (g *admissionGate) report(time.Time) routing.Report {
-	l := g.c.Load()
-	return routing.Report{Limit: l.Limit, QueueWait: l.Wait, ServiceTime: l.ServiceTime}
+func (g *admissionGate) report() pressure.Load {
+	return pressure.Load(g.c.Load())
 }
 
 // owners returns the attempts of tickets, with their refusals if they have any.
--- a/internal/model/ours.go
+++ b/internal/model/ours.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/retry"
 	"github.com/teaselseam/teaselseam/internal/routing"
 )
@@ -12,6 +13,8 @@
 	id      string
 	dc      int
 	targets map[int]*target // by service
+
+	pressure *pressure.Table
 }
 
 // target is what an ingress keeps for one service.
@@ -48,6 +51,15 @@
 }
 
 func (o *ours) begin(c *call) {
+	r := c.req
+	refusal, ok := c.from.pressure.AdmitRequest(o.w.q.time(), pressure.Request{
+		Route: o.w.graph.Services[c.service].Name, Workspace: workspaceNames[r.workspace],
+		Weight: shares[r.workspace], Importance: r.importance, Remaining: r.deadline - o.w.q.now,
+	}, o.w.rnd)
+	if !ok {
+		c.finish(refused(refusal))
+		return
+	}
 	c.try()
 }
 
@@ -67,10 +79,14 @@
 	return o.target(c.from, c.service).policy.Next(o.w.q.time(), a, c.budget, o.w.rnd)
 }
 
-func (o *ours) observed(a *attempt, r result, report routing.Report) {
+func (o *ours) observed(a *attempt, r result) []pressure.Hint {
+	report := routing.Report{Limit: r.load.Limit, QueueWait: r.load.Wait, ServiceTime: r.load.ServiceTime}
 	o.target(a.call.from, a.call.service).picker.Done(o.w.q.time(), a.worker.id, routing.Result{
 		Kind: kindOf(r), Latency: o.w.q.now - a.sent, Load: &report,
 	})
+	service := o.w.graph.Services[a.call.service].Name
+	a.call.from.pressure.Observe(o.w.q.time(), service, r.hints)
+	return append(r.hints, r.load.Hint(service))
 }
 
 func (o *ours) cancelled(c *call, a *attempt) {
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/routing"
 )
@@ -16,8 +17,9 @@
 	pick(c *call) (string, bool)
 	// retry decides whether a failed call is tried again.
 	retry(c *call, r result) (time.Duration, bool)
-	// observed is told of each response, cancelled of each attempt given up.
-	observed(a *attempt, r result, report routing.Report)
+	// observed is told of each response and returns the hints to send up. cancelled
+	// is told of each attempt given up.
+	observed(a *attempt, r result) []pressure.Hint
 	cancelled(c *call, a *attempt)
 	// attemptTimeout is the timeout of a single attempt; 0 for none.
 	attemptTimeout() time.Duration
@@ -52,7 +54,7 @@
 	return 0, c.tries < naiveAttempts
 }
 
-func (n *naive) observed(*attempt, result, routing.Report) {}
+func (n *naive) observed(*attempt, result) []pressure.Hint { return nil }
 func (n *naive) cancelled(*call, *attempt)                 {}
 func (n *naive) attemptTimeout() time.Duration             { return naiveTimeout }
 func (n *naive) passesDeadline() bool                      { return false }
--- a/internal/model/worker.go
+++ b/internal/model/worker.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/admission"
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
-	"github.com/teaselseam/teaselseam/internal/routing"
 )
 
 const (
@@ -32,7 +32,7 @@
 	inner   []*attempt // running, but waiting for a slot
 	ingress *ingress
 
-	stale   routing.Report // in scenarios with lagging reports
+	stale   pressure.Load // in scenarios with lagging reports
 	staleAt time.Duration
 }
 
@@ -53,14 +53,14 @@
 }
 
 // report returns the load figures on a response.
-func (k *worker) report() routing.Report {
+func (k *worker) report() pressure.Load {
 	now := k.w.q.now
-	r := k.gate.report(k.w.q.time())
+	r := k.gate.report()
 	if !k.w.sc.BadReports || !k.w.times.overloaded(now) {
 		return r
 	}
 	if k.number == 0 {
-		return routing.Report{Limit: 1000}
+		return pressure.Load{Limit: 1000, AcceptRatio: 1}
 	}
 	if now-k.staleAt >= reportLag {
 		k.stale, k.staleAt = r, now
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/retry"
 	"github.com/teaselseam/teaselseam/internal/routing"
@@ -77,7 +78,7 @@
 		for i := range workers {
 			id := fmt.Sprintf("%s-%d", s.Name, i)
 			k := &worker{w: w, id: id, dc: i % dataCentres, service: service, number: i}
-			k.ingress = &ingress{id: id, dc: k.dc, targets: make(map[int]*target)}
+			k.ingress = &ingress{id: id, dc: k.dc, targets: make(map[int]*target), pressure: pressure.NewTable()}
 			w.byID[id] = k
 			w.ingresses = append(w.ingresses, k.ingress)
 			ks = append(ks, k)
