--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -1,7 +1,7 @@
 package admission
 
 import (
-	"container/heap"
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -21,7 +21,8 @@
 
 // backend models a backend server with exponential service times. Its kinds:
 // "queue" holds calls beyond its slots in a queue, "shared" slows all of them
-// down, "sheds" refuses them; "async" queues, but calls hold no slot while they
+// down, "sheds" refuses them, "thrashes" serves none if there are twice as many,
+// within a deadline of 100 ms; "async" queues, but calls hold no slot while they
 // wait for the service behind.
 type backend struct {
 	slots   int
@@ -44,6 +45,9 @@
 		own = time.Duration(float64(own) * math.Max(1, float64(n)/float64(b.slots)))
 		return callEnd{t, t + own + behind, Served}
 	}
+	if b.kind == "thrashes" && n > 2*b.slots {
+		return callEnd{t, t + 100*time.Millisecond, TimedOut}
+	}
 	first := slices.Index(b.free, slices.Min(b.free))
 	begin := max(t, b.free[first])
 	if b.kind == "sheds" && begin > t {
@@ -61,17 +65,10 @@
 	result     Result
 }
 
-type endHeap []callEnd
-
-func (h endHeap) Len() int           { return len(h) }
-func (h endHeap) Less(i, j int) bool { return h[i].end < h[j].end }
-func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *endHeap) Push(x any)        { *h = append(*h, x.(callEnd)) }
-func (h *endHeap) Pop() any {
-	old := *h
-	x := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return x
+// insert keeps the calls in order of their ends.
+func insert(calls []callEnd, c callEnd) []callEnd {
+	i, _ := slices.BinarySearchFunc(calls, c, func(a, b callEnd) int { return cmp.Compare(a.end, b.end) })
+	return slices.Insert(calls, i, c)
 }
 
 // span summarizes a part of a run.
@@ -100,13 +97,14 @@
 
 // saturate offers as many calls as the limit lets through and fills the spans.
 func saturate(algo limitAlgo, b *backend, spans []*span) {
-	var calls endHeap
+	var calls []callEnd
 	now, until := time.Duration(0), spans[len(spans)-1].to
 	for now < until {
 		for len(calls) < algo.slots() {
-			heap.Push(&calls, b.serve(now, len(calls)+1))
+			calls = insert(calls, b.serve(now, len(calls)+1))
 		}
-		c := heap.Pop(&calls).(callEnd)
+		c := calls[0]
+		calls = calls[1:]
 		for _, s := range spans {
 			if c.end < s.from || now >= s.to {
 				continue
