Add faults with a probability and late writes to the platform stand-in

Faults of the stand-in held for every call or for none, so a test could not mix lost responses with healthy ones, and no write could take effect after it had failed. Faults now also have a probability for each call, drawn from a seed; reads and writes have their own stream, so that a further read does not shift the faults of writes. Drawing from one shared stream was ruled out for that reason.

A late write fails at once and makes its checks when it takes effect. Its data is copied first, because the caller may change it after the call.

--- a/internal/platform/standin/memory.go
+++ b/internal/platform/standin/memory.go
@@ -1,11 +1,11 @@
 // Package standin is an in-memory platform for tests and for `teaselseamd dev`.
-// It is never used in production. It can be told to be down, to be slow, or to
-// lose the response to a write after the write took effect.
+// It is never used in production. It can be told to be down, to be slow, to lose
+// the response to a write after the write took effect, or to apply a write after
+// it has failed. See Faults.
 package standin
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sort"
 	"sync"
@@ -14,19 +14,6 @@
 	"github.com/teaselseam/teaselseam/internal/platform"
 )
 
-// Faults says how the stand-in misbehaves. The zero value is a healthy platform.
-type Faults struct {
-	Down          bool          `json:"down"`           // every call fails without effect
-	Delay         time.Duration `json:"delay"`          // added to every call, in nanoseconds
-	LoseResponses bool          `json:"lose_responses"` // writes take effect, then fail
-}
-
-// Errors of an injected fault.
-var (
-	errDown         = errors.New("platform stand-in is down")
-	errLostResponse = errors.New("platform stand-in lost the response")
-)
-
 // Counts are the calls served since start.
 type Counts struct {
 	Reads  int64 `json:"reads"`
@@ -39,7 +26,8 @@
 	rows    map[string]platform.Row
 	keys    []string // sorted
 	objects map[string][]byte
-	faults  Faults
+	reads   *source
+	writes  *source
 	counts  Counts
 }
 
@@ -47,14 +35,16 @@
 
 // NewMemory returns an empty, healthy platform.
 func NewMemory() *Memory {
-	return &Memory{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	m := &Memory{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	m.SetFaults(Faults{})
+	return m
 }
 
-// SetFaults changes the injected faults.
+// SetFaults changes the injected faults and starts their random numbers again.
 func (m *Memory) SetFaults(f Faults) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.faults = f
+	m.reads, m.writes = newSource(f, readStream), newSource(f, writeStream)
 }
 
 // Counts returns the calls served so far.
@@ -64,32 +54,66 @@
 	return m.counts
 }
 
-// enter applies the delay and the outage, and counts the call.
-func (m *Memory) enter(ctx context.Context, write bool) error {
+// enter counts a call, applies its delay and its outage, and returns its faults.
+func (m *Memory) enter(ctx context.Context, write bool) (verdict, error) {
+	v := m.draw(write)
+	late := v.late && !v.down
+	if v.delay > 0 && !late {
+		t := time.NewTimer(v.delay)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return v, ctx.Err()
+		case <-t.C:
+		}
+	}
+	if v.down {
+		return v, errDown
+	}
+	return v, nil
+}
+
+// draw counts a call and draws its faults.
+func (m *Memory) draw(write bool) verdict {
 	m.mu.Lock()
-	f := m.faults
+	defer m.mu.Unlock()
 	if write {
 		m.counts.Writes++
-	} else {
-		m.counts.Reads++
+		return m.writes.next()
 	}
-	m.mu.Unlock()
-	if f.Delay > 0 {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(f.Delay):
-		}
+	m.counts.Reads++
+	return m.reads.next()
+}
+
+// write runs apply, which is called with the lock held, as the faults of the call
+// demand.
+func (m *Memory) write(ctx context.Context, apply func() error) error {
+	v, err := m.enter(ctx, true)
+	if err != nil {
+		return err
+	}
+	if v.late {
+		time.AfterFunc(v.lateDelay, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			_ = apply() // nobody waits for the answer
+		})
+		return errLate
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := apply(); err != nil {
+		return err
 	}
-	if f.Down {
-		return errDown
+	if v.lose || m.writes.faults.LoseResponses {
+		return errLostResponse
 	}
 	return nil
 }
 
 // Get implements platform.Table.
 func (m *Memory) Get(ctx context.Context, key string) (platform.Row, error) {
-	if err := m.enter(ctx, false); err != nil {
+	if _, err := m.enter(ctx, false); err != nil {
 		return platform.Row{}, err
 	}
 	m.mu.Lock()
@@ -103,7 +127,7 @@
 
 // Scan implements platform.Table.
 func (m *Memory) Scan(ctx context.Context, from, to string, limit int) ([]platform.Row, error) {
-	if err := m.enter(ctx, false); err != nil {
+	if _, err := m.enter(ctx, false); err != nil {
 		return nil, err
 	}
 	m.mu.Lock()
@@ -117,23 +141,27 @@
 
 // Commit implements platform.Table.
 func (m *Memory) Commit(ctx context.Context, tx platform.Transaction) error {
-	if err := m.enter(ctx, true); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, c := range tx.Checks {
-		if m.rows[c.Key].Version != c.Version {
-			return platform.ErrConflict
+	tx = clone(tx)
+	return m.write(ctx, func() error {
+		for _, c := range tx.Checks {
+			if m.rows[c.Key].Version != c.Version {
+				return platform.ErrConflict
+			}
 		}
+		for _, p := range tx.Puts {
+			m.put(p)
+		}
+		return nil
+	})
+}
+
+// clone copies a transaction, because a late write outlives the call.
+func clone(tx platform.Transaction) platform.Transaction {
+	tx.Checks, tx.Puts = slices.Clone(tx.Checks), slices.Clone(tx.Puts)
+	for i, p := range tx.Puts {
+		tx.Puts[i].Value = slices.Clone(p.Value)
 	}
-	for _, p := range tx.Puts {
-		m.put(p)
-	}
-	if m.faults.LoseResponses {
-		return errLostResponse
-	}
-	return nil
+	return tx
 }
 
 func (m *Memory) put(p platform.Put) {
@@ -142,12 +170,12 @@
 		i := sort.SearchStrings(m.keys, p.Key)
 		m.keys = slices.Insert(m.keys, i, p.Key)
 	}
-	m.rows[p.Key] = platform.Row{Key: p.Key, Version: row.Version + 1, Value: slices.Clone(p.Value)}
+	m.rows[p.Key] = platform.Row{Key: p.Key, Version: row.Version + 1, Value: p.Value}
 }
 
 // GetObject implements platform.Objects.
 func (m *Memory) GetObject(ctx context.Context, name string) ([]byte, error) {
-	if err := m.enter(ctx, false); err != nil {
+	if _, err := m.enter(ctx, false); err != nil {
 		return nil, err
 	}
 	m.mu.Lock()
@@ -161,14 +189,9 @@
 
 // PutObject implements platform.Objects.
 func (m *Memory) PutObject(ctx context.Context, name string, data []byte) error {
-	if err := m.enter(ctx, true); err != nil {
-		return err
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.objects[name] = slices.Clone(data)
-	if m.faults.LoseResponses {
-		return errLostResponse
-	}
-	return nil
+	data = slices.Clone(data)
+	return m.write(ctx, func() error {
+		m.objects[name] = data
+		return nil
+	})
 }
