Test late results during a trial and callers that are gone before sending

Trials with single lines of the breaker and the client changed showed two changes that no test noticed: a late result of an earlier call taken for the trial's, and a call sent for a caller whose context had ended. Both fail now. The stand-in tells reads and writes apart in one place.

--- a/internal/platform/resilient/breaker_test.go
+++ b/internal/platform/resilient/breaker_test.go
@@ -85,10 +85,10 @@
 			t.Error("a write became a trial")
 		}
 		trial := s.allow()
+		s.b.Done(s.now, early, Good, s.rnd)
 		if _, ok, _ := s.b.Allow(s.now, read); ok {
 			t.Error("a second trial was allowed beside the first")
 		}
-		s.b.Done(s.now, early, Good, s.rnd)
 		s.want(HalfOpen)
 		s.b.Done(s.now, trial, Bad, s.rnd)
 		s.want(Open)
--- a/internal/platform/resilient/store_test.go
+++ b/internal/platform/resilient/store_test.go
@@ -112,15 +112,19 @@
 		}
 		cancel()
 		calls.Wait()
+		err := s.Commit(gone, put("gone"))
+		if !errors.Is(err, platform.ErrUnavailable) || !errors.Is(err, context.Canceled) || inner.sent["gone"] != 0 {
+			t.Errorf("call of a caller that has gone: %v, sent %d times", err, inner.sent["gone"])
+		}
 		st = s.Stats()
 		if inner.most != DefaultMaxInFlight {
 			t.Errorf("%d calls at the platform at one time, want %d", inner.most, DefaultMaxInFlight)
 		}
-		// A quarter of the waiting callers went. The others got the places of the 2
+		// The last caller and a quarter of the waiting ones went. The others got the places of the 2
 		// callers that went in flight, then all places twice; the rest waited too long.
-		const gave, served = DefaultMaxWaiting / 4, 2 + 2*DefaultMaxInFlight
-		if st.InFlight != 0 || st.Waiting != 0 || st.Refused[CallerGone] != gave ||
-			st.Refused[WaitedTooLong] != DefaultMaxWaiting-gave-served {
+		const went, served = DefaultMaxWaiting / 4, 2 + 2*DefaultMaxInFlight
+		if st.InFlight != 0 || st.Waiting != 0 || st.Refused[CallerGone] != went+1 ||
+			st.Refused[WaitedTooLong] != DefaultMaxWaiting-went-served {
 			t.Errorf("after all calls: %+v", st)
 		}
 	})
--- a/internal/platform/standin/faults.go
+++ b/internal/platform/standin/faults.go
@@ -39,7 +39,7 @@
 	errLate         = errors.New("platform stand-in applies the write late")
 )
 
-// verdict is what one call suffers.
+// verdict is what one call suffers; lose and late have no effect on a read.
 type verdict struct {
 	down, lose, late bool
 	delay            time.Duration
@@ -56,11 +56,10 @@
 type source struct {
 	faults Faults
 	rnd    *rand.Rand
-	write  bool
 }
 
 func newSource(f Faults, stream uint64) *source {
-	return &source{faults: f, rnd: rand.New(rand.NewPCG(f.Seed, stream)), write: stream == writeStream}
+	return &source{faults: f, rnd: rand.New(rand.NewPCG(f.Seed, stream))}
 }
 
 // next draws the faults of the next call. Each call takes the same number of
@@ -73,8 +72,8 @@
 	late := s.rnd.Float64() < f.LateProbability
 	v := verdict{
 		down:      down || f.Down,
-		lose:      lose && s.write,
-		late:      late && s.write,
+		lose:      lose,
+		late:      late,
 		delay:     f.Delay,
 		lateDelay: f.LateDelay,
 	}
--- a/internal/platform/standin/faults_test.go
+++ b/internal/platform/standin/faults_test.go
@@ -82,13 +82,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		m := NewMemory()
-		m.SetFaults(Faults{LateProbability: 1, LateDelay: time.Second})
+		m.SetFaults(Faults{LateProbability: 1, LateDelay: time.Second, Delay: time.Millisecond})
 		tx := put("a", "late")
 		for _, err := range []error{m.Commit(ctx, tx), m.Commit(ctx, put("b", "late")), m.PutObject(ctx, "o", tx.Puts[0].Value)} {
 			if !errors.Is(err, errLate) {
 				t.Fatalf("late write returned %v", err)
 			}
 		}
+		begin := time.Now()
+		_, _ = m.Get(ctx, "a")
+		if took := time.Since(begin); took != time.Millisecond {
+			t.Errorf("read took %v, want the delay of all calls", took)
+		}
 		copy(tx.Puts[0].Value, "xxxx")
 		m.SetFaults(Faults{})
 		if _, err := m.Get(ctx, "a"); !errors.Is(err, platform.ErrNotFound) {
--- a/internal/platform/standin/memory.go
+++ b/internal/platform/standin/memory.go
@@ -57,7 +57,7 @@
 // enter counts a call, applies its delay and its outage, and returns its faults.
 func (m *Memory) enter(ctx context.Context, write bool) (verdict, error) {
 	v := m.draw(write)
-	late := v.late && !v.down
+	late := write && v.late && !v.down
 	if v.delay > 0 && !late {
 		t := time.NewTimer(v.delay)
 		defer t.Stop()
