--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/peer"
 	"github.com/teaselseam/teaselseam/internal/platform"
+	"github.com/teaselseam/teaselseam/internal/platform/resilient"
 	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/rates"
 	"github.com/teaselseam/teaselseam/internal/store"
@@ -90,7 +91,11 @@
 		Started:     time.Now(),
 	}
 	n := &Node{log: log, cfg: cfg, pool: peer.NewPool(creds), metrics: obs.NewMetrics()}
-	changes := store.NewLog(st, store.WithSnapshots(st, store.DefaultSnapshotEvery))
+	client, err := resilient.New(st, resilient.DefaultConfig())
+	if err != nil {
+		return nil, err
+	}
+	changes := store.NewLog(client, store.WithSnapshots(client, store.DefaultSnapshotEvery))
 	n.control = control.New(log, self, changes, n.pool, cfg.Peer.Seeds)
 	source := &rings{log: log, control: n.control}
 	n.claims = claims.New(log, self.ID, self.Incarnation, source, n.pool)
