Correct response framing, redirects, silence and refusal bounds on the traffic path

A request counts as sent from the first byte written on its connection, not from the moment a connection was handed out. Idle connections to the backend server end after 4 s, below the idle timeout of common HTTP servers.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -3,9 +3,10 @@
 package call
 
 import (
-	"bytes"
 	"io"
+	"maps"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/request"
@@ -55,7 +56,8 @@
 	Header http.Header
 	Body   []byte
 	// Rest is the remainder of a body longer than MaxBuffered; the receiver
-	// closes it. Length is the length of the whole body, or -1 if unknown.
+	// closes it. Length is the length of the whole body, or -1 if it is unknown
+	// or the response has no body but may have a Content-Length (HEAD, 304).
 	Rest   io.ReadCloser
 	Length int64
 
@@ -67,12 +69,42 @@
 // Refused returns a response that is a refusal.
 func Refused(r request.Refusal) *Response { return &Response{Refusal: &r} }
 
-// onceBody is a request body that net/http cannot send a second time. It also
-// hides an empty body from net/http, which would otherwise repeat a GET on its
-// own when a reused connection fails.
-type onceBody struct{ *bytes.Reader }
+// CopyHeader copies the caller's headers to a request. net/http adds no
+// User-Agent of its own.
+func (c *Call) CopyHeader(h http.Header) {
+	maps.Copy(h, c.Header)
+	if _, ok := h["User-Agent"]; !ok {
+		h["User-Agent"] = nil
+	}
+}
+
+// WhenRead calls f when the response has been read: at once, or when Rest is
+// closed. A whole response was read to its end. Calls made earlier are called
+// first.
+func (r *Response) WhenRead(f func(whole bool)) {
+	if r.Rest == nil {
+		f(true)
+		return
+	}
+	r.Rest = &rest{ReadCloser: r.Rest, closed: f}
+}
 
-func (onceBody) Close() error { return nil }
+// rest is a streamed body that reports its end.
+type rest struct {
+	io.ReadCloser
+	whole  bool
+	once   sync.Once
+	closed func(whole bool)
+}
 
-// Body returns a request body that is sent at most once.
-func Body(data []byte) io.ReadCloser { return onceBody{bytes.NewReader(data)} }
+func (b *rest) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
+}
+
+func (b *rest) Close() error {
+	err := b.ReadCloser.Close()
+	b.once.Do(func() { b.closed(b.whole) })
+	return err
+}
--- a/internal/guard/backend.go
+++ b/internal/guard/backend.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,26 +18,36 @@
 // Timers and limits towards the backend server.
 const (
 	backendDialTimeout = time.Second
-	backendIdleTimeout = time.Minute
+	// backendIdleTimeout is below 5 s, the idle timeout of common HTTP servers. A
+	// request that crosses the server's close may have run as far as the guard
+	// can tell, and a new connection costs only about 1 ms.
+	backendIdleTimeout = 4 * time.Second
 	keepAliveInterval  = time.Second
 	keepAliveProbes    = 3
 	// announcementTimeout is the age at which an announcement no longer counts.
 	announcementTimeout = 5 * time.Second
 	// defaultConnections is used until the backend server announces its limit.
 	defaultConnections = 100
+	// maxDrained is the largest body of a refusal that is read to keep its
+	// connection, in bytes.
+	maxDrained = 4 << 10
+	// shedRetry is when to try again after a refusal without a Retry-After.
+	shedRetry = time.Second
 )
 
 // Backend is the backend server beside the node, as it announced itself.
 type Backend struct {
+	events Events
+
+	mu      sync.Mutex // held to replace current
 	current atomic.Pointer[announced]
-	events  Events
 }
 
 // announced is one instance of the backend server with its connections.
 type announced struct {
 	control.Announcement
 	received time.Time
-	client   *http.Client
+	conns    *http.Transport
 	lost     *atomic.Bool
 	died     *sync.Once // shared by all announcements of an instance
 }
@@ -48,23 +58,33 @@
 // Announce records an announcement. A new instance or address gets new
 // connections, and the instance before it counts as dead.
 func (b *Backend) Announce(a control.Announcement, now time.Time) {
+	old := b.replace(a, now)
+	fresh := old == nil || old.Instance != a.Instance
+	if old != nil && fresh {
+		b.die(old)
+		old.conns.CloseIdleConnections()
+	}
+	if b.events.Announced != nil {
+		b.events.Announced(a, fresh)
+	}
+}
+
+// replace makes an announcement the current one and returns the one before it.
+func (b *Backend) replace(a control.Announcement, now time.Time) (old *announced) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	next := &announced{Announcement: a, received: now, lost: &atomic.Bool{}}
-	old := b.current.Load()
+	old = b.current.Load()
 	if old != nil && old.Address == a.Address && old.Instance == a.Instance {
-		next.client, next.died = old.client, old.died
+		next.conns, next.died = old.conns, old.died
 	} else {
-		next.client, next.died = newBackendClient(a.MaxConnections), &sync.Once{}
+		next.conns, next.died = newConns(a.MaxConnections), &sync.Once{}
 	}
 	b.current.Store(next)
-	if old != nil && old.Instance != a.Instance {
-		b.die(old)
-	}
-	if b.events.Announced != nil {
-		b.events.Announced(a, old == nil || old.Instance != a.Instance)
-	}
+	return old
 }
 
-func newBackendClient(maxConnections int) *http.Client {
+func newConns(maxConnections int) *http.Transport {
 	if maxConnections <= 0 {
 		maxConnections = defaultConnections
 	}
@@ -72,15 +92,18 @@
 		Timeout:         backendDialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
 	}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxConnsPerHost:     maxConnections,
-			MaxIdleConnsPerHost: maxConnections,
-			IdleConnTimeout:     backendIdleTimeout,
-			DisableCompression:  true,
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &backendConn{Conn: conn}, nil
 		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		MaxConnsPerHost:     maxConnections,
+		MaxIdleConnsPerHost: maxConnections,
+		IdleConnTimeout:     backendIdleTimeout,
+		DisableCompression:  true,
 	}
 }
 
@@ -98,103 +121,123 @@
 }
 
 // do sends a call to the backend server and reads its answer. An idempotent call
-// whose connection has gone silent is sent again, once, over a new connection.
-func (b *Backend) do(ctx context.Context, c *call.Call, token string, silence silenceRule) (*call.Response, Result) {
+// whose connection has gone silent is sent once more, over a new connection, if
+// the call's retry budget allows. A call that may not be repeated keeps waiting
+// until its deadline, because a slow answer may still arrive.
+func (b *Backend) do(ctx context.Context, c *call.Call, entry *Entry, rule silenceRule) (*call.Response, Result) {
 	a := b.current.Load()
 	if a == nil {
 		return call.Refused(request.Refuse(request.ReasonNoBackend, time.Second)), Result{NotSent: true}
 	}
-	var silent atomic.Bool
 	attempt, giveUp := context.WithCancel(ctx)
-	if c.Idempotent {
-		watch := time.AfterFunc(silence.after, func() {
-			if silence.applies() && a.answersProbe(ctx) {
-				silent.Store(true)
-				giveUp()
-			}
-		})
-		defer watch.Stop()
+	trace := &sendTrace{}
+	watch := &silenceWatch{rule: rule, trace: trace, probe: func() bool { return a.answersProbe(ctx) }}
+	watch.onLost = func() {
+		// Idle connections may have been lost the same way.
+		a.conns.CloseIdleConnections()
+		if c.Idempotent {
+			giveUp()
+		}
+	}
+	watch.start()
+	resp, result := b.send(attempt, a, c, entry.Token, trace)
+	silent := watch.stop()
+	resp.WhenRead(func(bool) { giveUp() })
+	if !silent || !c.Idempotent || resp.Refusal == nil || resp.Refusal.Outcome == request.NotRun || ctx.Err() != nil {
+		return resp, result
 	}
-	resp, result := b.send(attempt, a, c, token)
-	if !silent.Load() || resp.Refusal == nil || ctx.Err() != nil {
-		return endWith(resp, giveUp), result
+	if !entry.takeRetry() {
+		return call.Refused(request.Unknown(request.ReasonBackendLost)), Result{Failed: true}
 	}
-	giveUp()
-	// Idle connections may have been lost the same way.
-	a.client.CloseIdleConnections()
-	return b.send(ctx, a, c, token)
+	resp, result = b.send(ctx, a, c, entry.Token, &sendTrace{})
+	result.Untimed = true
+	return withEarlierRun(resp), result
 }
 
-// endWith calls end when the response has been read.
-func endWith(resp *call.Response, end func()) *call.Response {
-	if resp.Rest == nil {
-		end()
-		return resp
+// withEarlierRun makes a refusal allow for an earlier run of the same call.
+func withEarlierRun(resp *call.Response) *call.Response {
+	if resp.Refusal != nil {
+		resp.Refusal.Outcome = request.MayHaveRun
 	}
-	resp.Rest = &closer{ReadCloser: resp.Rest, onClose: end}
 	return resp
 }
 
-func (b *Backend) send(ctx context.Context, a *announced, c *call.Call, token string) (*call.Response, Result) {
-	trace := &sendTrace{}
-	req, err := http.NewRequestWithContext(trace.with(ctx), c.Method, "http://"+a.Address+c.URI, call.Body(c.Body))
+func (b *Backend) send(ctx context.Context, a *announced, c *call.Call, token string, trace *sendTrace) (*call.Response, Result) {
+	req, err := http.NewRequestWithContext(trace.with(ctx), c.Method, "http://"+a.Address+c.URI, nil)
 	if err != nil {
 		return call.Refused(request.Refuse(request.ReasonBadRequest, 0)), Result{NotSent: true}
 	}
-	req.ContentLength = int64(len(c.Body))
-	setBackendHeaders(req, c, token)
-	resp, err := a.client.Do(req)
+	setBackendHeaders(req.Header, c, token)
+	call.SetBody(req, c.Body)
+	// Not http.Client, which follows redirects and fails on a malformed Location.
+	resp, err := a.conns.RoundTrip(req)
 	if err != nil {
+		notSent := trace.notSent()
 		if ctx.Err() == nil {
 			b.suspect(a, err)
 		}
-		return failure(ctx, trace)
+		return failure(ctx, notSent)
 	}
-	return b.read(ctx, a, resp)
+	return b.read(ctx, a, c, resp)
 }
 
-func (b *Backend) read(ctx context.Context, a *announced, resp *http.Response) (*call.Response, Result) {
-	if resp.Header.Get(request.HeaderOutcome) == request.NotRun.String() {
+func (b *Backend) read(ctx context.Context, a *announced, c *call.Call, resp *http.Response) (*call.Response, Result) {
+	if saysNotRun(c, resp.Header) {
+		// A body read to its end keeps the connection; what it says is not used.
+		_, _ = io.CopyN(io.Discard, resp.Body, maxDrained)
 		resp.Body.Close()
 		return call.Refused(request.Refuse(request.ReasonOverload, retryAfter(resp.Header))), Result{Shed: true}
 	}
 	out := &call.Response{Status: resp.StatusCode, Header: call.WithoutOwn(resp.Header)}
-	if err := out.Fill(resp); err != nil {
-		if ctx.Err() == nil {
-			b.suspect(a, err)
+	if err := out.Fill(c.Method, resp); err != nil {
+		if ctx.Err() != nil {
+			return failure(ctx, false)
 		}
+		b.suspect(a, err)
 		return call.Refused(request.Unknown(request.ReasonBadAnswer)), Result{Failed: true}
 	}
+	streamed := out.Rest != nil
+	out.WhenRead(func(whole bool) {
+		if !whole {
+			b.suspect(a, io.ErrUnexpectedEOF)
+		}
+	})
 	shed := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
-	return out, Result{Shed: shed}
+	return out, Result{Shed: shed, Untimed: streamed}
+}
+
+// saysNotRun reports a backend server's own statement that it did not run the
+// call. A refusal of a nested call that the backend server passes on with all
+// headers says nothing about the call itself: it has a reason and the nested
+// call's ID.
+func saysNotRun(c *call.Call, h http.Header) bool {
+	if h.Get(request.HeaderOutcome) != request.NotRun.String() || h.Get(request.HeaderReason) != "" {
+		return false
+	}
+	id := h.Get(request.HeaderID)
+	return id == "" || id == string(c.ID)
 }
 
 // setBackendHeaders passes on the caller's headers and adds the call's own. The
 // key, its digest and the node headers never reach the backend server.
-func setBackendHeaders(req *http.Request, c *call.Call, token string) {
-	for name, values := range c.Header {
-		req.Header[name] = values
-	}
-	req.Header.Set(request.HeaderID, string(c.ID))
-	req.Header.Set(request.HeaderRoot, string(c.Root))
-	req.Header.Set(request.HeaderWorkspace, c.Workspace)
-	req.Header.Set(request.HeaderImportance, c.Importance.String())
-	req.Header.Set(request.HeaderTimeout, strconv.FormatInt(time.Until(c.Deadline).Milliseconds(), 10))
-	req.Header.Set(request.HeaderCall, token)
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header["User-Agent"] = nil // otherwise net/http adds its own
-	}
+func setBackendHeaders(h http.Header, c *call.Call, token string) {
+	c.CopyHeader(h)
+	h.Set(request.HeaderID, string(c.ID))
+	h.Set(request.HeaderRoot, string(c.Root))
+	h.Set(request.HeaderWorkspace, c.Workspace)
+	h.Set(request.HeaderImportance, c.Importance.String())
+	h.Set(request.HeaderTimeout, call.FormatTimeout(time.Until(c.Deadline)))
+	h.Set(request.HeaderCall, token)
 }
 
-// failure classifies a call without an answer. It did not run if no connection
-// was handed out for it.
-func failure(ctx context.Context, trace *sendTrace) (*call.Response, Result) {
+// failure classifies a call without an answer.
+func failure(ctx context.Context, notSent bool) (*call.Response, Result) {
 	gaveUp := ctx.Err() != nil
 	reason := request.ReasonBackendLost
 	if gaveUp {
 		reason = reasonOf(ctx)
 	}
-	if !trace.written() {
+	if notSent {
 		return call.Refused(request.Refuse(reason, 0)), Result{NotSent: true, Failed: !gaveUp}
 	}
 	return call.Refused(request.Unknown(reason)), Result{TimedOut: gaveUp, Failed: !gaveUp}
@@ -209,9 +252,8 @@
 }
 
 func retryAfter(h http.Header) time.Duration {
-	seconds, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return time.Second
+	if d := call.ParseRetryAfter(h.Get("Retry-After"), time.Second); d > 0 {
+		return d
 	}
-	return time.Duration(seconds) * time.Second
+	return shedRetry
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -51,6 +51,9 @@
 	TimedOut bool
 	// NotSent means that the call ended before it reached the backend server.
 	NotSent bool
+	// Untimed means that the duration says nothing about the backend server: the
+	// call was sent twice, or its caller set the pace of a streamed answer.
+	Untimed bool
 }
 
 // RateTokens enforces the fleet-wide rate of workspaces.
@@ -161,7 +164,13 @@
 	if !g.enter() {
 		return unused(c, request.Refuse(request.ReasonDraining, 0))
 	}
-	defer g.active.Done()
+	resp := g.admit(ctx, c)
+	resp.WhenRead(func(bool) { g.active.Done() })
+	return resp
+}
+
+// admit waits for a slot and holds it until the response has been read.
+func (g *Guard) admit(ctx context.Context, c *call.Call) *call.Response {
 	if refusal := g.check(c); refusal != nil {
 		return unused(c, *refusal)
 	}
@@ -172,26 +181,27 @@
 		return unused(c, *refusal)
 	}
 	resp, result := g.run(ctx, c)
-	result.Finished = time.Now()
-	if resp.Rest != nil {
-		resp.Rest = &closer{ReadCloser: resp.Rest, onClose: func() { release(result); cancel() }}
-		return resp
-	}
-	release(result)
-	cancel()
+	resp.WhenRead(func(whole bool) {
+		result.Finished = time.Now()
+		result.Failed = result.Failed || !whole
+		release(result)
+		cancel()
+	})
 	return resp
 }
 
-// check is done on arrival and again after the queue.
+// check is done on arrival, after the queue, and after the waits for claim and
+// token, which a pause of the process may make long.
 func (g *Guard) check(c *call.Call) *request.Refusal {
 	now := time.Now()
-	if !g.control.Fresh(now) {
+	snap := g.control.Snapshot()
+	if !g.control.Fresh(now) || snap.Settings == nil {
 		return refuse(request.ReasonNodeStale, time.Second)
 	}
 	if !now.Before(c.Deadline) {
 		return refuse(request.ReasonDeadline, 0)
 	}
-	ws, verdict := g.control.Snapshot().Keys.Check(c.KeyDigest)
+	ws, verdict := snap.Keys.Check(c.KeyDigest)
 	switch {
 	case verdict == workspace.Revoked:
 		return refuse(request.ReasonKeyRevoked, 0)
@@ -230,13 +240,19 @@
 		refund()
 		return unused(c, *refusal), notSent
 	}
+	if refusal := g.check(c); refusal != nil {
+		finish(false)
+		claim.Release()
+		refund()
+		return unused(c, *refusal), notSent
+	}
 	if !claim.Start() {
 		finish(false)
 		return unused(c, request.Unknown(request.ReasonClaimUnavailable)), notSent
 	}
 	resp, result := g.send(ctx, c)
 	result.Started = started
-	finish(resp.Refusal == nil)
+	resp.WhenRead(func(whole bool) { finish(whole && resp.Refusal == nil) })
 	if resp.Refusal != nil && resp.Refusal.Outcome == request.NotRun {
 		claim.Release()
 		refund()
@@ -269,8 +285,9 @@
 
 func (g *Guard) send(ctx context.Context, c *call.Call) (*call.Response, Result) {
 	entry := g.running.start(ctx, c)
-	resp, result := g.backend.do(ctx, c, entry.Token, g.silenceRule(c))
-	resp.BudgetUnused = g.running.finish(entry)
+	resp, result := g.backend.do(ctx, c, entry, g.silenceRule(c))
+	resp.BudgetUnused = entry.settle()
+	resp.WhenRead(func(bool) { g.running.finish(entry) })
 	return resp, result
 }
 
--- a/internal/guard/limiter.go
+++ b/internal/guard/limiter.go
@@ -100,7 +100,7 @@
 		return admission.Refused
 	case r.TimedOut:
 		return admission.TimedOut
-	case r.Failed || r.NotSent:
+	case r.Failed || r.NotSent || r.Untimed:
 		return admission.Failed
 	default:
 		return admission.Served
--- a/internal/guard/running.go
+++ b/internal/guard/running.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"io"
 	"sync"
 
 	"github.com/teaselseam/teaselseam/internal/call"
@@ -41,15 +40,12 @@
 	return e
 }
 
-// finish ends a call and its nested calls and returns its unused retry budget.
-func (r *Running) finish(e *Entry) int {
+// finish ends a call and its nested calls.
+func (r *Running) finish(e *Entry) {
 	r.mu.Lock()
 	delete(r.entries, e.Token)
 	r.mu.Unlock()
 	e.cancel()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.budget.Close()
 }
 
 // Lookup returns the running call with a token.
@@ -80,15 +76,17 @@
 	}
 }
 
-// closer runs a function when a streamed body is closed.
-type closer struct {
-	io.ReadCloser
-	once    sync.Once
-	onClose func()
+// settle ends the call's part of the retry budget and returns what is unused.
+// Nested calls that start later get no retries.
+func (e *Entry) settle() (unused int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.Close()
 }
 
-func (c *closer) Close() error {
-	err := c.ReadCloser.Close()
-	c.once.Do(c.onClose)
-	return err
+// takeRetry takes one attempt from the call's retry budget.
+func (e *Entry) takeRetry() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.budget.Take()
 }
--- a/internal/guard/silence.go
+++ b/internal/guard/silence.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/call"
@@ -32,6 +33,62 @@
 	}
 }
 
+// silenceWatch looks for silence on the connection of one request.
+type silenceWatch struct {
+	rule   silenceRule
+	trace  *sendTrace
+	probe  func() bool
+	onLost func()
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	lost    bool
+}
+
+// start calls onLost at most once, while the watch is not stopped: when no byte
+// was read for the rule's time although the backend server answers a probe.
+func (w *silenceWatch) start() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.rule.after, w.check)
+}
+
+func (w *silenceWatch) check() {
+	idle := w.trace.idle(time.Now())
+	if idle < w.rule.after {
+		w.again(w.rule.after - idle)
+		return
+	}
+	if !w.rule.applies() || !w.probe() {
+		w.again(w.rule.after)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.lost = true
+		w.onLost()
+	}
+}
+
+func (w *silenceWatch) again(after time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(after)
+	}
+}
+
+// stop ends the watch and reports whether the connection was found silent.
+func (w *silenceWatch) stop() (lost bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+	return w.lost
+}
+
 // applies reports whether a call that took this long is far from typical.
 func (r silenceRule) applies() bool { return r.after > outlierFactor*r.limiter.ServiceTime() }
 
@@ -40,7 +97,8 @@
 func (a *announced) answersProbe(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: probeTimeout}).DialContext, DisableKeepAlives: true}
+	dialer := &net.Dialer{Timeout: probeTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
 	req, err := http.NewRequestWithContext(ctx, http.MethodOptions, "http://"+a.Address+"/", nil)
 	if err != nil {
 		return false
--- a/internal/ingress/announce.go
+++ b/internal/ingress/announce.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/control"
@@ -20,17 +22,45 @@
 		http.Error(w, "announcements are accepted from the same VM only", http.StatusForbidden)
 		return
 	}
-	var a control.Announcement
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxAnnouncement)).Decode(&a); err != nil {
-		http.Error(w, "announcement is not valid JSON: "+err.Error(), http.StatusBadRequest)
+	if r.Method != http.MethodPost {
+		http.Error(w, "announcements are sent by POST", http.StatusMethodNotAllowed)
 		return
 	}
-	host, _, err := net.SplitHostPort(a.Address)
-	if err != nil || net.ParseIP(host) == nil || a.Service == "" || a.Instance == "" {
-		http.Error(w, "announcement needs service, instance and address (IP:port)", http.StatusBadRequest)
+	a, err := decodeAnnouncement(io.LimitReader(r.Body, maxAnnouncement))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	in.backend.Announce(a, time.Now())
 	in.control.Announce(r.Context(), a)
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// Limits of an announcement's fields.
+const (
+	maxName   = 128     // bytes
+	maxFigure = 1 << 20 // connections or calls
+)
+
+// decodeAnnouncement reads and checks an announcement.
+func decodeAnnouncement(r io.Reader) (control.Announcement, error) {
+	var a control.Announcement
+	if err := json.NewDecoder(r).Decode(&a); err != nil {
+		return a, fmt.Errorf("announcement is not valid JSON: %w", err)
+	}
+	for _, name := range []string{a.Service, a.Instance} {
+		if name == "" || len(name) > maxName {
+			return a, fmt.Errorf("announcement needs service and instance of at most %d bytes", maxName)
+		}
+	}
+	address, err := netip.ParseAddrPort(a.Address)
+	if err != nil || address.Port() == 0 || address.Addr().Zone() != "" {
+		return a, errors.New("announcement needs an address (IP:port)")
+	}
+	for _, figure := range []int{a.MaxConnections, a.Slots, a.Running, a.Queued} {
+		if figure < 0 || figure > maxFigure {
+			return a, fmt.Errorf("a figure of the announcement is not from 0 to %d", maxFigure)
+		}
+	}
+	return a, nil
+}
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/membership"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/retry"
 )
@@ -32,17 +33,23 @@
 	svc.first(time.Now())
 	budget := retry.Open(c.Budget)
 	var tried []string
+	var last *request.Refusal
 	mayHaveRun := false
 	for n := 0; ; n++ {
+		target, ok := svc.pick(time.Now(), in.control.Snapshot(), tried)
+		if !ok {
+			return final(orNoBackend(last), mayHaveRun, budget.Close())
+		}
 		in.metrics.Attempt(n > 0)
-		resp, endpoint := in.attempt(ctx, c, svc, budget, tried)
-		tried = append(tried, endpoint)
+		resp := in.attempt(ctx, c, svc, budget, target)
+		tried = append(tried, target.ID)
 		if resp.Refusal == nil {
 			resp.BudgetUnused = budget.Close()
 			return resp
 		}
+		last = resp.Refusal
 		mayHaveRun = mayHaveRun || resp.Refusal.Outcome != request.NotRun
-		if endpoint == "" || !elsewhere[resp.Refusal.Reason] {
+		if !elsewhere[resp.Refusal.Reason] {
 			return final(resp.Refusal, mayHaveRun, budget.Close())
 		}
 		delay, again := svc.next(time.Now(), c, resp.Refusal, n, budget)
@@ -52,6 +59,15 @@
 	}
 }
 
+// orNoBackend is the refusal if no guard is left to try: that of the last one,
+// which says more than that there is no other.
+func orNoBackend(last *request.Refusal) *request.Refusal {
+	if last != nil {
+		return last
+	}
+	return refuse(request.ReasonNoBackend, noBackendRetry)
+}
+
 // final is the refusal after the last attempt. It says not run only if no
 // attempt may have run.
 func final(r *request.Refusal, mayHaveRun bool, unusedBudget int) *call.Response {
@@ -64,13 +80,8 @@
 	return resp
 }
 
-// attempt sends the call to one guard and returns the guard's node name, which
-// is empty if there is none to send it to.
-func (in *Ingress) attempt(ctx context.Context, c *call.Call, svc *service, budget *retry.Budget, tried []string) (*call.Response, string) {
-	target, ok := svc.pick(time.Now(), in.control.Snapshot(), tried)
-	if !ok {
-		return call.Refused(request.Refuse(request.ReasonNoBackend, noBackendRetry)), ""
-	}
+// attempt sends the call to one guard.
+func (in *Ingress) attempt(ctx context.Context, c *call.Call, svc *service, budget *retry.Budget, target membership.Member) *call.Response {
 	loan := budget.Lend(1)
 	sent := *c
 	sent.Attempt = newAttempt()
@@ -86,7 +97,7 @@
 	loan.Return(resp.BudgetUnused)
 	svc.done(time.Now(), target.ID, started, resp)
 	in.pressure.Observe(time.Now(), c.Route, resp.Load)
-	return resp, target.ID
+	return resp
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
--- a/internal/ingress/forward.go
+++ b/internal/ingress/forward.go
@@ -16,13 +16,14 @@
 
 // Forwarder sends calls to the guards of other nodes.
 type Forwarder struct {
-	log  *slog.Logger
-	http *http.Client
+	log   *slog.Logger
+	peers http.RoundTripper
 }
 
 // NewForwarder returns a forwarder over authenticated connections between nodes.
 func NewForwarder(log *slog.Logger, client *http.Client) *Forwarder {
-	return &Forwarder{log: log, http: client}
+	// Not the client itself, which would follow a backend server's redirect.
+	return &Forwarder{log: log, peers: client.Transport}
 }
 
 // Send sends a call to the guard of a node and reads its response.
@@ -38,13 +39,16 @@
 	}
 	c.EncodeRequest(req.Header, time.Now())
 	req.ContentLength = int64(len(c.Body))
-	resp, err := f.http.Do(req)
+	resp, err := f.peers.RoundTrip(req)
 	if err != nil {
 		f.log.Debug("forward failed", "step", "forward", "peer", target.ID, "request", string(c.ID), "error", err)
 		return lost(ctx, connected.Load())
 	}
 	out, err := call.ReadResponse(c, resp)
 	if err != nil {
+		if ctx.Err() != nil {
+			return lost(ctx, true)
+		}
 		f.log.Warn("response rejected", "step", "forward", "peer", target.ID, "request", string(c.ID), "error", err)
 		return call.Refused(request.Unknown(request.ReasonBadAnswer))
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -60,6 +60,7 @@
 
 // ServeHTTP serves one request.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	boundUnread(w, r)
 	if r.URL.Path == AnnouncePath {
 		in.serveAnnouncement(w, r)
 		return
@@ -87,6 +88,24 @@
 	in.metrics.Completed(time.Since(started))
 }
 
+// unreadGrace is how long the body of a request that was refused unread may take
+// to arrive. Within it the connection can be used again; after it, it is closed.
+const unreadGrace = time.Second
+
+// boundUnread lets a refusal be sent before the request's body was read, and
+// bounds the time for which net/http reads the rest of that body afterwards. A
+// caller that announces a body and sends none would otherwise hold up its
+// refusal and its connection for good.
+func boundUnread(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	connection := http.NewResponseController(w)
+	// Other kinds of connections, as in tests, have neither.
+	_ = connection.EnableFullDuplex()
+	_ = connection.SetReadDeadline(time.Now().Add(unreadGrace))
+}
+
 // writeGrace is how long after the deadline a response may still be written. It
 // ends the connection of a caller that went silent.
 const writeGrace = 5 * time.Second
@@ -108,27 +127,29 @@
 // within the lifetime of its parent.
 func (in *Ingress) serve(ctx context.Context, c *call.Call, parent *guard.Entry) *call.Response {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	stop := func() bool { return true }
 	giveBack := func(int) {}
 	if parent != nil {
-		stop := context.AfterFunc(parent.Context, cancel)
-		defer stop()
+		stop = context.AfterFunc(parent.Context, cancel)
 		c.Budget, giveBack = parent.Lend()
 	}
-	if refusal := in.pressure.Admit(time.Now(), c); refusal != nil {
-		cancel()
-		giveBack(c.Budget)
-		return call.Refused(*refusal)
-	}
-	resp := in.attempts(ctx, c)
+	resp := in.admit(ctx, c)
 	giveBack(resp.BudgetUnused)
-	if resp.Rest == nil {
+	resp.WhenRead(func(bool) {
+		stop()
 		cancel()
-	} else {
-		context.AfterFunc(ctx, cancel) // the deadline ends a streamed body
-	}
+	})
 	return resp
 }
 
+// admit makes the attempts unless the call would fail behind the first hop.
+func (in *Ingress) admit(ctx context.Context, c *call.Call) *call.Response {
+	if refusal := in.pressure.Admit(time.Now(), c); refusal != nil {
+		return final(refusal, false, c.Budget)
+	}
+	return in.attempts(ctx, c)
+}
+
 func idOf(c *call.Call) request.ID {
 	if c == nil {
 		return ""
--- a/internal/ingress/newcall.go
+++ b/internal/ingress/newcall.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -19,15 +20,16 @@
 // newCall validates a request and builds its call. For a nested call it also
 // returns the running call that it belongs to.
 func (in *Ingress) newCall(w http.ResponseWriter, r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
-	if !in.control.Fresh(now) {
+	snap := in.control.Snapshot()
+	if !in.control.Fresh(now) || snap.Settings == nil {
 		return nil, nil, refuse(request.ReasonNodeStale, staleRetry)
 	}
-	snap := in.control.Snapshot()
 	c, refusal := newIdentity(r)
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	if hasDotSegment(r.URL.Path) {
+	// The target of CONNECT is a host; it would be sent on as one.
+	if hasDotSegment(r.URL.Path) || r.Method == http.MethodConnect {
 		return c, nil, refuse(request.ReasonBadRequest, 0)
 	}
 	var parent *guard.Entry
@@ -161,19 +163,26 @@
 }
 
 // readBody reads the body until the deadline, so that a caller that sends it
-// slowly or goes silent does not hold the request for longer.
+// slowly or goes silent does not hold the request for longer. After a failure
+// the read deadline stays, for net/http reads on what is left of the body.
 func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
+	if r.ContentLength == 0 {
+		return nil
+	}
 	connection := http.NewResponseController(w)
 	// A connection without deadlines, as in tests, is read without a bound.
 	_ = connection.SetReadDeadline(c.Deadline)
-	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
 	var err error
-	c.Body, err = call.ReadBody(r.Body, snap.Settings.Service(c.Service).MaxBody)
-	if errors.Is(err, call.ErrBodyTooLarge) {
+	c.Body, err = call.ReadBody(r.Body, r.ContentLength, snap.Settings.Service(c.Service).MaxBody)
+	switch {
+	case err == nil:
+		_ = connection.SetReadDeadline(time.Time{})
+		return nil
+	case errors.Is(err, call.ErrBodyTooLarge):
 		return refuse(request.ReasonBodyTooLarge, 0)
-	}
-	if err != nil {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(request.ReasonDeadline, 0)
+	default:
 		return refuse(request.ReasonBadRequest, 0)
 	}
-	return nil
 }
--- a/internal/ingress/respond.go
+++ b/internal/ingress/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strconv"
 
@@ -34,9 +35,7 @@
 
 func writeResponse(w http.ResponseWriter, id request.ID, resp *call.Response) {
 	h := w.Header()
-	for name, values := range resp.Header {
-		h[name] = values
-	}
+	maps.Copy(h, resp.Header)
 	h.Set(request.HeaderID, string(id))
 	call.WriteBody(w, resp)
 }
