--- a/internal/ingress/announce.go
+++ b/internal/ingress/announce.go
@@ -15,9 +15,14 @@
 // maxAnnouncement is the largest announcement, in bytes.
 const maxAnnouncement = 16 << 10
 
+// announcementWait bounds the time in which an announcement arrives.
+const announcementWait = time.Second
+
 // serveAnnouncement takes the announcement of the backend server beside the
 // node. It is refused from any other VM.
 func (in *Ingress) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
+	// A connection without deadlines, as in tests, is read without a bound.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(announcementWait))
 	if !fromThisVM(r) {
 		http.Error(w, "announcements are accepted from the same VM only", http.StatusForbidden)
 		return
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -60,7 +60,6 @@
 
 // ServeHTTP serves one request.
 func (in *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	boundUnread(w, r)
 	if r.URL.Path == AnnouncePath {
 		in.serveAnnouncement(w, r)
 		return
@@ -74,6 +73,7 @@
 	c, parent, refusal := in.newCall(w, r, started)
 	bound(w, c, started)
 	if refusal != nil {
+		endBody(w, r)
 		in.refused(c, refusal, "admit")
 		writeRefusal(w, idOf(c), *refusal)
 		return
@@ -88,24 +88,6 @@
 	in.metrics.Completed(time.Since(started))
 }
 
-// unreadGrace is how long the body of a request that was refused unread may take
-// to arrive. Within it the connection can be used again; after it, it is closed.
-const unreadGrace = time.Second
-
-// boundUnread lets a refusal be sent before the request's body was read, and
-// bounds the time for which net/http reads the rest of that body afterwards. A
-// caller that announces a body and sends none would otherwise hold up its
-// refusal and its connection for good.
-func boundUnread(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength == 0 {
-		return
-	}
-	connection := http.NewResponseController(w)
-	// Other kinds of connections, as in tests, have neither.
-	_ = connection.EnableFullDuplex()
-	_ = connection.SetReadDeadline(time.Now().Add(unreadGrace))
-}
-
 // writeGrace is how long after the deadline a response may still be written. It
 // ends the connection of a caller that went silent.
 const writeGrace = 5 * time.Second
--- a/internal/ingress/newcall.go
+++ b/internal/ingress/newcall.go
@@ -1,9 +1,7 @@
 package ingress
 
 import (
-	"errors"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -161,28 +159,3 @@
 	}
 	return nil
 }
-
-// readBody reads the body until the deadline, so that a caller that sends it
-// slowly or goes silent does not hold the request for longer. After a failure
-// the read deadline stays, for net/http reads on what is left of the body.
-func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
-	if r.ContentLength == 0 {
-		return nil
-	}
-	connection := http.NewResponseController(w)
-	// A connection without deadlines, as in tests, is read without a bound.
-	_ = connection.SetReadDeadline(c.Deadline)
-	var err error
-	c.Body, err = call.ReadBody(r.Body, r.ContentLength, snap.Settings.Service(c.Service).MaxBody)
-	switch {
-	case err == nil:
-		_ = connection.SetReadDeadline(time.Time{})
-		return nil
-	case errors.Is(err, call.ErrBodyTooLarge):
-		return refuse(request.ReasonBodyTooLarge, 0)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return refuse(request.ReasonDeadline, 0)
-	default:
-		return refuse(request.ReasonBadRequest, 0)
-	}
-}
