--- a/internal/ingress/fixture_test.go
+++ b/internal/ingress/fixture_test.go
@@ -132,7 +132,7 @@
 		Keys:     workspace.NewKeys().Issue(workspace.DigestOf(testKey), "guild"),
 		Self:     membership.Member{ID: "n1", Incarnation: incarnation, DataCentre: "dc1"},
 	})
-	log := slog.New(slog.NewTextHandler(&f.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	log := f.logger()
 	f.backend = guard.NewBackend(guard.Events{})
 	f.backend.Announce(control.Announcement{Service: "echo", Address: backendAddress, Instance: "i1"}, time.Now())
 	f.guard = guard.New(log, incarnation, f.ctl, f.backend, guard.Parts{
@@ -158,6 +158,10 @@
 	return f
 }
 
+func (f *fixture) logger() *slog.Logger {
+	return slog.New(slog.NewTextHandler(&f.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+}
+
 // answer is what a caller sees.
 type answer struct {
 	status  int
