--- a/internal/ingress/fixture_test.go
+++ b/internal/ingress/fixture_test.go
@@ -133,6 +133,9 @@
 		Self:     membership.Member{ID: "n1", Incarnation: incarnation, DataCentre: "dc1"},
 	})
 	log := f.logger()
+	if _, bench := tb.(*testing.B); bench {
+		log = f.quiet()
+	}
 	f.backend = guard.NewBackend(guard.Events{})
 	f.backend.Announce(control.Announcement{Service: "echo", Address: backendAddress, Instance: "i1"}, time.Now())
 	f.guard = guard.New(log, incarnation, f.ctl, f.backend, guard.Parts{
@@ -162,6 +165,9 @@
 	return slog.New(slog.NewTextHandler(&f.log, &slog.HandlerOptions{Level: slog.LevelDebug}))
 }
 
+// quiet is a logger at the level of a node in production.
+func (f *fixture) quiet() *slog.Logger { return slog.New(slog.NewTextHandler(&f.log, nil)) }
+
 // answer is what a caller sees.
 type answer struct {
 	status  int
@@ -169,7 +175,7 @@
 	body    string
 	reason  string
 	outcome string
-	err     error // of reading the body
+	err     error // of sending the request or reading the body
 }
 
 // send sends a request with the test key and further headers.
@@ -177,7 +183,7 @@
 	tb.Helper()
 	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
 	if err != nil {
-		tb.Fatal(err)
+		return answer{err: err}
 	}
 	req.Header.Set(request.HeaderKey, testKey)
 	for i := 0; i < len(headers); i += 2 {
@@ -185,7 +191,7 @@
 	}
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
-		tb.Fatal(err)
+		return answer{err: err}
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
