--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -49,7 +49,7 @@
 		}
 		last = resp.Refusal
 		mayHaveRun = mayHaveRun || resp.Refusal.Outcome != request.NotRun
-		if !elsewhere[resp.Refusal.Reason] {
+		if !elsewhere[resp.Refusal.Reason] || !svc.anyLeft(time.Now(), in.control.Snapshot(), tried) {
 			return final(resp.Refusal, mayHaveRun, budget.Close())
 		}
 		delay, again := svc.next(time.Now(), c, resp.Refusal, n, budget)
--- a/internal/ingress/services.go
+++ b/internal/ingress/services.go
@@ -80,6 +80,19 @@
 	return s.members[id], true
 }
 
+// anyLeft reports whether there is a guard that was not tried yet, so that no
+// retry is paid for in vain.
+func (s *service) anyLeft(now time.Time, snap *control.Snapshot, tried []string) bool {
+	m, ok := s.pick(now, snap, tried)
+	if !ok {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.picker.Done(now, m.ID, routing.Result{Kind: routing.Cancelled})
+	return true
+}
+
 // update takes over the members of a snapshot.
 func (s *service) update(now time.Time, snap *control.Snapshot) {
 	s.seen = snap
