Bound the memory for request bodies at an ingress

Callers with a valid key could hold any number of bodies of up to max_body until their deadlines. Together they now have 128 MiB; the rest is refused as overload, not run.

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -5,10 +5,10 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/call"
-	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/request"
 )
 
@@ -24,9 +24,45 @@
 	lingerTime = 500 * time.Millisecond
 )
 
-// readBody reads the body until the deadline, so that a caller that sends it
+// maxBodies is the memory for the request bodies of all calls under way, in
+// bytes: two of the largest size that max_body allows.
+const maxBodies = 128 << 20
+
+// bodiesRetry is when to try again after a refusal for lack of that memory.
+const bodiesRetry = time.Second
+
+// memory counts bytes that are set aside. It is safe for concurrent use.
+type memory struct{ used atomic.Int64 }
+
+// reserve sets bytes aside unless the limit would be exceeded.
+func (m *memory) reserve(bytes, limit int64) (release func(), ok bool) {
+	if m.used.Add(bytes) > limit {
+		m.used.Add(-bytes)
+		return func() {}, false
+	}
+	return func() { m.used.Add(-bytes) }, true
+}
+
+// readBody reads the body into memory, which release gives back.
+func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call) (release func(), refusal *request.Refusal) {
+	limit := in.control.Snapshot().Settings.Service(c.Service).MaxBody
+	size := r.ContentLength
+	if size < 0 {
+		size = limit
+	}
+	if size > limit {
+		return func() {}, refuse(request.ReasonBodyTooLarge, 0)
+	}
+	release, ok := in.bodies.reserve(size, maxBodies)
+	if !ok {
+		return release, refuse(request.ReasonOverload, bodiesRetry)
+	}
+	return release, receiveBody(w, r, c, limit)
+}
+
+// receiveBody reads the body until the deadline, so that a caller that sends it
 // slowly or goes silent does not hold the request for longer.
-func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
+func receiveBody(w http.ResponseWriter, r *http.Request, c *call.Call, limit int64) *request.Refusal {
 	if r.ContentLength == 0 {
 		return nil
 	}
@@ -34,7 +70,7 @@
 	// A connection without deadlines, as in tests, is read without a bound.
 	_ = connection.SetReadDeadline(c.Deadline)
 	var err error
-	c.Body, err = call.ReadBody(r.Body, r.ContentLength, snap.Settings.Service(c.Service).MaxBody)
+	c.Body, err = call.ReadBody(r.Body, r.ContentLength, limit)
 	switch {
 	case err == nil:
 		_ = connection.SetReadDeadline(time.Time{})
--- a/internal/ingress/fuzz_test.go
+++ b/internal/ingress/body_test.go
@@ -20,3 +20,17 @@
 		}
 	})
 }
+
+// TestMemory guards the limit on buffered bodies: it is not exceeded, and a
+// refused reservation or a release leaves nothing behind.
+func TestMemory(t *testing.T) {
+	var m memory
+	release, ok := m.reserve(60, 100)
+	if _, second := m.reserve(41, 100); !ok || second {
+		t.Errorf("reserving 60 and 41 of 100: got %v and %v, want only the first", ok, second)
+	}
+	release()
+	if n := m.used.Load(); n != 0 {
+		t.Errorf("%d bytes in use after the release", n)
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -47,6 +47,7 @@
 	services *Services
 	pressure Pressure
 	metrics  *obs.Metrics
+	bodies   memory
 	leaving  atomic.Bool
 }
 
@@ -70,7 +71,12 @@
 		w.Header().Set("Connection", "close")
 	}
 	started := time.Now()
-	c, parent, refusal := in.newCall(w, r, started)
+	c, parent, refusal := in.newCall(r, started)
+	if refusal == nil {
+		var release func()
+		release, refusal = in.readBody(w, r, c)
+		defer release()
+	}
 	bound(w, c, started)
 	if refusal != nil {
 		endBody(w, r)
--- a/internal/ingress/newcall.go
+++ b/internal/ingress/newcall.go
@@ -15,9 +15,9 @@
 // staleRetry is when a caller may try again at a node that is not fresh.
 const staleRetry = time.Second
 
-// newCall validates a request and builds its call. For a nested call it also
+// newCall validates a request and builds its call, without the body. For a nested call it also
 // returns the running call that it belongs to.
-func (in *Ingress) newCall(w http.ResponseWriter, r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
+func (in *Ingress) newCall(r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
 	snap := in.control.Snapshot()
 	if !in.control.Fresh(now) || snap.Settings == nil {
 		return nil, nil, refuse(request.ReasonNodeStale, staleRetry)
@@ -48,7 +48,7 @@
 	c.Header = call.WithoutOwn(r.Header)
 	c.Method = r.Method
 	c.URI = r.URL.RequestURI()
-	return c, parent, in.readBody(w, r, c, snap)
+	return c, parent, nil
 }
 
 // hasDotSegment reports a path that a backend server could resolve to another
