--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/request"
 )
 
@@ -125,3 +128,21 @@
 		t.Errorf("got %s, want may_have_run", resp.Refusal.Outcome)
 	}
 }
+
+// TestAnnounceRace guards against announcements that arrive together: an
+// instance dies once, and the last one stays.
+func TestAnnounceRace(t *testing.T) {
+	var died atomic.Int64
+	b := NewBackend(Events{Died: func(string) { died.Add(1) }})
+	const instances = 20
+	var all sync.WaitGroup
+	for i := range instances {
+		all.Go(func() {
+			b.Announce(control.Announcement{Service: "s", Address: "127.0.0.1:9", Instance: fmt.Sprint(i)}, time.Now())
+		})
+	}
+	all.Wait()
+	if died.Load() != instances-1 || !b.Serves("s") {
+		t.Errorf("%d of %d instances died, serving is %v", died.Load(), instances, b.Serves("s"))
+	}
+}
--- a/internal/ingress/answers_test.go
+++ b/internal/ingress/answers_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 )
@@ -90,3 +91,32 @@
 		}
 	}
 }
+
+// TestClosedIdleConnections guards G8 and G9 against a backend server that
+// closes each connection after its answer, so that calls cross the close: none
+// runs twice, and none that ran says that it did not.
+func TestClosedIdleConnections(t *testing.T) {
+	var runs sync.Map
+	address := listen(t, func(conn net.Conn) {
+		defer conn.Close()
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		if req.Method == http.MethodOptions {
+			return // the probe of a slow connection
+		}
+		if _, again := runs.LoadOrStore(req.Header.Get("X-Call"), true); again {
+			t.Errorf("call %s ran twice", req.Header.Get("X-Call"))
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	})
+	f := newFixture(t, address, false)
+	for i := range 200 {
+		name := fmt.Sprint(i)
+		a := f.send(t, "GET", "/once", "", "X-Call", name)
+		if _, ran := runs.Load(name); ran && a.outcome == "not_run" || a.status != http.StatusOK && a.outcome == "" {
+			t.Errorf("call %s: status %d, outcome %q, ran %v", name, a.status, a.outcome, ran)
+		}
+	}
+}
--- a/internal/ingress/headers_test.go
+++ b/internal/ingress/headers_test.go
@@ -61,3 +61,37 @@
 		}
 	})
 }
+
+// TestHeadersPass guards what crosses between caller, nodes and backend server:
+// their own headers do, those of one connection or of the nodes do not.
+func TestHeadersPass(t *testing.T) {
+	for _, viaPeer := range []bool{false, true} {
+		var seen http.Header
+		address := handled(t, func(w http.ResponseWriter, r *http.Request) {
+			seen = r.Header
+			h := w.Header()
+			for _, name := range []string{"X-Answer", "X-Hop", request.HeaderAttempt, request.HeaderDraining, request.HeaderOutcome} {
+				h.Set(name, "true")
+			}
+			h.Set("Connection", "X-Hop")
+		})
+		a := newFixture(t, address, viaPeer).send(t, "PUT", "/idem", "body", "User-Agent", "", "X-Asked", "1", "X-Hop", "1",
+			"Connection", "X-Hop", request.HeaderDepth, "7", request.HeaderWorkspace, "other")
+		if seen.Get("X-Asked") != "1" || seen.Get(request.HeaderWorkspace) != "guild" {
+			t.Errorf("peer=%v: backend server got %v", viaPeer, seen)
+		}
+		for _, name := range []string{"User-Agent", "X-Hop", request.HeaderDepth, request.HeaderKey, request.HeaderKeyDigest, request.HeaderAttempt} {
+			if seen.Get(name) != "" {
+				t.Errorf("peer=%v: %s reached the backend server", viaPeer, name)
+			}
+		}
+		if a.header.Get("X-Answer") != "true" || a.header.Get(request.HeaderID) == "" {
+			t.Errorf("peer=%v: caller got %v", viaPeer, a.header)
+		}
+		for _, name := range []string{"X-Hop", request.HeaderAttempt, request.HeaderDraining, request.HeaderOutcome, request.HeaderBudget} {
+			if a.header.Get(name) != "" {
+				t.Errorf("peer=%v: %s reached the caller", viaPeer, name)
+			}
+		}
+	}
+}
