--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/call"
+	"github.com/teaselseam/teaselseam/internal/membership"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/retry"
 )
@@ -32,17 +33,23 @@
 	svc.first(time.Now())
 	budget := retry.Open(c.Budget)
 	var tried []string
+	last := call.Refused(request.Refuse(request.ReasonNoBackend, noBackendRetry))
 	mayHaveRun := false
 	for n := 0; ; n++ {
+		target, ok := svc.pick(time.Now(), in.control.Snapshot(), tried)
+		if !ok {
+			return final(last, mayHaveRun, budget.Close())
+		}
 		in.metrics.Attempt(n > 0)
-		resp, endpoint := in.attempt(ctx, c, svc, budget, tried)
-		tried = append(tried, endpoint)
+		resp := in.attempt(ctx, c, svc, budget, target)
+		tried = append(tried, target.ID)
 		if resp.Refusal == nil {
 			resp.BudgetUnused = budget.Close()
 			return resp
 		}
+		last = resp
 		mayHaveRun = mayHaveRun || resp.Refusal.Outcome != request.NotRun
-		if endpoint == "" || !elsewhere[resp.Refusal.Reason] {
+		if !elsewhere[resp.Refusal.Reason] || !svc.anyLeft(time.Now(), in.control.Snapshot(), tried) {
 			return final(resp, mayHaveRun, budget.Close())
 		}
 		delay, again := svc.next(time.Now(), c, resp.Refusal, n, budget)
@@ -65,13 +72,8 @@
 	return resp
 }
 
-// attempt sends the call to one guard and returns the guard's node name, which
-// is empty if there is none to send it to.
-func (in *Ingress) attempt(ctx context.Context, c *call.Call, svc *service, budget *retry.Budget, tried []string) (*call.Response, string) {
-	target, ok := svc.pick(time.Now(), in.control.Snapshot(), tried)
-	if !ok {
-		return call.Refused(request.Refuse(request.ReasonNoBackend, noBackendRetry)), ""
-	}
+// attempt sends the call to one guard.
+func (in *Ingress) attempt(ctx context.Context, c *call.Call, svc *service, budget *retry.Budget, target membership.Member) *call.Response {
 	loan := budget.Lend(1)
 	sent := *c
 	sent.Attempt = newAttempt()
@@ -87,7 +89,7 @@
 	loan.Return(resp.BudgetUnused)
 	svc.done(time.Now(), target.ID, started, resp)
 	in.pressure.Observe(time.Now(), c.Route, resp.Load)
-	return resp, target.ID
+	return resp
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -47,6 +47,7 @@
 	services *Services
 	pressure Pressure
 	metrics  *obs.Metrics
+	bodies   memory
 	leaving  atomic.Bool
 }
 
@@ -70,9 +71,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	started := time.Now()
-	c, parent, refusal := in.newCall(w, r, started)
+	c, parent, refusal := in.newCall(r, started)
+	if refusal == nil {
+		var release func()
+		release, refusal = in.readBody(w, r, c)
+		defer release()
+	}
 	bound(w, c, started)
 	if refusal != nil {
+		endBody(w, r)
 		in.refused(c, refusal, "admit")
 		writeRefusal(w, idOf(c), *refusal)
 		return
@@ -108,30 +115,32 @@
 // within the lifetime of its parent.
 func (in *Ingress) serve(ctx context.Context, c *call.Call, parent *guard.Entry) *call.Response {
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	stop := func() bool { return true }
 	giveBack := func(int) {}
 	if parent != nil {
-		stop := context.AfterFunc(parent.Context, cancel)
-		defer stop()
+		stop = context.AfterFunc(parent.Context, cancel)
 		c.Budget, giveBack = parent.Lend()
 	}
-	if refusal := in.pressure.Admit(time.Now(), c); refusal != nil {
-		cancel()
-		giveBack(c.Budget)
-		return call.Refused(*refusal)
-	}
-	resp := in.attempts(ctx, c)
+	resp := in.admit(ctx, c)
 	giveBack(resp.BudgetUnused)
 	if parent != nil {
 		parent.Learn(c.Service, resp.Load)
 	}
-	if resp.Rest == nil {
+	resp.WhenRead(func(bool) {
+		stop()
 		cancel()
-	} else {
-		context.AfterFunc(ctx, cancel) // the deadline ends a streamed body
-	}
+	})
 	return resp
 }
 
+// admit makes the attempts unless the call would fail behind the first hop.
+func (in *Ingress) admit(ctx context.Context, c *call.Call) *call.Response {
+	if refusal := in.pressure.Admit(time.Now(), c); refusal != nil {
+		return final(call.Refused(*refusal), false, c.Budget)
+	}
+	return in.attempts(ctx, c)
+}
+
 func idOf(c *call.Call) request.ID {
 	if c == nil {
 		return ""
--- a/internal/ingress/newcall.go
+++ b/internal/ingress/newcall.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -16,18 +15,19 @@
 // staleRetry is when a caller may try again at a node that is not fresh.
 const staleRetry = time.Second
 
-// newCall validates a request and builds its call. For a nested call it also
+// newCall validates a request and builds its call, without the body. For a nested call it also
 // returns the running call that it belongs to.
-func (in *Ingress) newCall(w http.ResponseWriter, r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
-	if !in.control.Fresh(now) {
+func (in *Ingress) newCall(r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
+	snap := in.control.Snapshot()
+	if !in.control.Fresh(now) || snap.Settings == nil {
 		return nil, nil, refuse(request.ReasonNodeStale, staleRetry)
 	}
-	snap := in.control.Snapshot()
 	c, refusal := newIdentity(r)
 	if refusal != nil {
 		return nil, nil, refusal
 	}
-	if hasDotSegment(r.URL.Path) {
+	// The target of CONNECT is a host; it would be sent on as one.
+	if hasDotSegment(r.URL.Path) || r.Method == http.MethodConnect {
 		return c, nil, refuse(request.ReasonBadRequest, 0)
 	}
 	var parent *guard.Entry
@@ -48,7 +48,7 @@
 	c.Header = call.WithoutOwn(r.Header)
 	c.Method = r.Method
 	c.URI = r.URL.RequestURI()
-	return c, parent, in.readBody(w, r, c, snap)
+	return c, parent, nil
 }
 
 // hasDotSegment reports a path that a backend server could resolve to another
@@ -159,21 +159,3 @@
 	}
 	return nil
 }
-
-// readBody reads the body until the deadline, so that a caller that sends it
-// slowly or goes silent does not hold the request for longer.
-func (in *Ingress) readBody(w http.ResponseWriter, r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
-	connection := http.NewResponseController(w)
-	// A connection without deadlines, as in tests, is read without a bound.
-	_ = connection.SetReadDeadline(c.Deadline)
-	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
-	var err error
-	c.Body, err = call.ReadBody(r.Body, snap.Settings.Service(c.Service).MaxBody)
-	if errors.Is(err, call.ErrBodyTooLarge) {
-		return refuse(request.ReasonBodyTooLarge, 0)
-	}
-	if err != nil {
-		return refuse(request.ReasonBadRequest, 0)
-	}
-	return nil
-}
