--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -71,7 +71,7 @@
 	s, other := pair(n, now)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	start, bytes, exchanges, version := now, 0, 0, uint64(8)
+	start, bytes, exchanges, version := now, 0, 0, uint64(9)
 	b.ResetTimer()
 	for b.Loop() {
 		now = now.Add(200 * time.Millisecond)
@@ -79,7 +79,7 @@
 			for range 5 {
 				m := benchMember(2 + rnd.IntN(n-2))
 				m.Version = version
-				version++
+				version += 2
 				other.Answer(now, now, "", membership.Exchange{Self: m, Seq: -1, MembersDigest: other.Digest()})
 				s.Answer(now, now, "", membership.Exchange{Self: m, Seq: -1, MembersDigest: s.Digest()})
 			}
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -40,6 +40,9 @@
 //     data centre comes back or joins, because that member may have been in contact
 //     with the dead one until then. Otherwise a partition that runs through all
 //     data centres would leave both sides with "all live members" and fresh.
+//   - Members that have not been fresh since their start do not count towards this
+//     majority. A node that restarted has lost what its predecessor acknowledged,
+//     and may learn the state from a minority that lacks it.
 //   - A node's own data centre counts only through another node that vouches for
 //     it. If it knows of no other, it counts by itself, but not before the node has
 //     learned the state from elsewhere.
--- a/internal/membership/evidence.go
+++ b/internal/membership/evidence.go
@@ -163,12 +163,12 @@
 	return s.holdsMost(now) && now.Sub(s.mostSince) >= s.cfg.JoinSettle
 }
 
-// holdsMost reports whether most of the own data centre is not dead, and notes
-// since when. Members that come back may bring entries with them, and those must
+// holdsMost reports whether most of the own data centre is caught up and not
+// dead, and notes since when. Members that come back may bring entries with them, and those must
 // spread before the node vouches again.
 func (s *State) holdsMost(now time.Time) bool {
 	most := s.mostOf(s.self.DataCentre, func(id string) bool {
-		return id == s.self.ID || s.members[id].Status < Dead
+		return id == s.self.ID || s.members[id].Status < Dead && s.members[id].CaughtUp()
 	})
 	if !most {
 		s.mostSince = time.Time{}
@@ -266,6 +266,9 @@
 func (s *State) noteFresh(now time.Time) {
 	if !s.caughtUp && s.seq >= 0 && s.Fresh(now) {
 		s.caughtUp = true
+		m := s.self
+		m.raise(m.Version, true)
+		s.setSelf(m)
 	}
 }
 
--- a/internal/membership/freshness_test.go
+++ b/internal/membership/freshness_test.go
@@ -276,6 +276,38 @@
 	}
 }
 
+// TestHoldersRestart guards against nodes that lost what they had acknowledged and
+// then make a majority with those that never had it.
+func TestHoldersRestart(t *testing.T) {
+	h := newHistory(29, 1, 4)
+	for i, f := range h.nodes {
+		h.cut[f] = i > 0
+		f.side = i / 2
+	}
+	h.play(40 * time.Second)
+	h.revoke()
+	h.play(time.Second)
+	h.up = false
+	if len(h.settled) != 1 {
+		t.Fatal("the half with the lowest name settled no revocation")
+	}
+	for _, f := range h.nodes[:2] {
+		f.down = true
+		h.start(f.self.ID, f.self.DataCentre, f.self.PeerAddress, Config{}).side = 1
+	}
+	h.play(2 * time.Minute)
+	if h.violation != "" {
+		t.Error(h.violation)
+	}
+	h.up = true
+	h.play(time.Minute)
+	for _, f := range h.nodes[2:] {
+		if !f.Fresh(h.now) || !f.revoked(h.log[1]) {
+			t.Errorf("%s has not recovered with the platform", f.self.ID)
+		}
+	}
+}
+
 // TestFreshWithoutPlatform guards against wrongful refusals: while the platform is
 // down, a healthy fleet stays fresh on what its nodes tell each other.
 func TestFreshWithoutPlatform(t *testing.T) {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -22,7 +22,8 @@
 	PeerAddress string // IP:port
 	Status      Status
 	// Version is raised by the member itself, to refute a suspicion or to
-	// announce a change of the fields below.
+	// announce a change of the fields below. It is odd once the member has been
+	// fresh since its start.
 	Version        uint64
 	Service        string // of the backend server; empty if none has announced itself
 	Draining       bool
@@ -50,3 +51,15 @@
 	}
 	return a.Status > old.Status
 }
+
+// CaughtUp reports whether the member has been fresh since its start. Before that
+// it may lack what its predecessor of the same name acknowledged.
+func (a *Member) CaughtUp() bool { return a.Version%2 == 1 }
+
+// raise sets the version to the next one after both its own and another.
+func (a *Member) raise(other uint64, caughtUp bool) {
+	a.Version = max(a.Version, other)/2*2 + 2
+	if caughtUp {
+		a.Version++
+	}
+}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -135,7 +135,7 @@
 	if m == s.self {
 		return false
 	}
-	m.Version++
+	m.raise(m.Version, s.caughtUp)
 	s.setSelf(m)
 	return true
 }
@@ -197,10 +197,8 @@
 		own.Started = m.Started.Add(time.Millisecond)
 	case own.Status == Left || m.Status == Alive || m.Version < own.Version:
 		return false
-	default:
-		own.Version = m.Version
 	}
-	own.Version++
+	own.raise(m.Version, s.caughtUp)
 	s.setSelf(own)
 	return true
 }
