Keep a replaced process stale after its successor died

A random history let an old process wake, find its successor dead, take the name back and serve without a revocation that the successor had acknowledged. The history's pause fault also woke replaced processes by mistake; it now only pauses, and TestReplacedNode covers the case.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -40,12 +40,13 @@
 
 // state is touched by the control goroutine only.
 type state struct {
-	members  *membership.State
-	rnd      *rand.Rand
-	folded   *changelog.State
-	window   []changelog.Entry // newest applied entries, consecutive
-	compiled *settings.Compiled
-	leaving  bool // the node takes no new calls, whatever its backend server says
+	members    *membership.State
+	rnd        *rand.Rand
+	folded     *changelog.State
+	window     []changelog.Entry // newest applied entries, consecutive
+	compiled   *settings.Compiled
+	superseded bool // already logged
+	leaving    bool // the node takes no new calls, whatever its backend server says
 
 	polling  bool
 	pollAt   time.Time
@@ -137,6 +138,10 @@
 	c.ringIfDue(ctx, s, now)
 	s.built.tableDue = true
 	c.publish(s)
+	if s.members.Superseded() && !s.superseded {
+		s.superseded = true
+		c.log.Error("another node started under this name; this one serves no more", "step", "membership", "node", c.cfg.Self.ID)
+	}
 }
 
 // start runs f on a goroutine that Run waits for, unless too many are running.
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -54,7 +54,9 @@
 //     half of the data centres. A side that was cut off does not become a majority
 //     by forgetting the others.
 //
-// What remains: when a partition runs through a data centre, its smaller part
+// What remains: a process that was paused, replaced under its name and then wakes
+// in a partition in which nobody has heard of its successor counts as the
+// successor there. And when a partition runs through a data centre, its smaller part
 // stops vouching once it holds the larger part dead. The bound then relies on this
 // taking at most Config.DeadGrace longer than on the larger side, and on gossip
 // making a joiner known to every settling node within Config.JoinSettle.
--- a/internal/membership/exchange.go
+++ b/internal/membership/exchange.go
@@ -42,6 +42,9 @@
 	s.mergeAll(now, e)
 	if !e.Full {
 		out := s.exchange(now, e.Self.ID, e.Members)
+		if r, ok := s.members[e.Self.ID]; ok && r.Incarnation != e.Self.Incarnation {
+			out.Members = append(out.Members, r.Member) // tells the sender that it was replaced
+		}
 		if e.MembersDigest != s.digest {
 			out.Members = append(out.Members, s.fill()...)
 		}
--- a/internal/membership/freshness_test.go
+++ b/internal/membership/freshness_test.go
@@ -139,7 +139,7 @@
 		"pause", "wake", "restart", "split", "regions", "heal", "platform", "cut", "loss", "clock", "revoke", "revoke",
 	}).Draw(t, "fault") {
 	case "pause":
-		f.down = h.byAddr[f.self.PeerAddress] == f
+		f.down = true
 	case "wake":
 		for _, f := range h.nodes {
 			f.down = h.byAddr[f.self.PeerAddress] != f
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -91,6 +91,10 @@
 		}
 	}
 	old := n.nodes[4]
+	for _, f := range n.nodes[6:] {
+		f.down = true // even if the successor is dead, what it acknowledged counts
+	}
+	n.run(20*time.Second, nil)
 	old.side, old.down = 0, false
 	n.byAddr["10.9.9.9:1"] = old
 	n.run(20*time.Second, nil)
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -189,8 +189,8 @@
 		if !m.supersedes(&own) {
 			return false
 		}
-		if m.Status < Dead && !m.Started.After(now) {
-			s.superseded = true
+		if !m.Started.After(now) {
+			s.superseded = true // even if the later process is dead by now
 			return false
 		}
 		// The predecessor's clock was ahead of this node's.
