--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -48,7 +48,10 @@
 		s.Answer(now, now, "", table)
 		states = append(states, s)
 	}
-	return states[0], states[1]
+	a, b = states[0], states[1]
+	b.Handle(now, a.Request(now, "", false)) // each learns the other's new version
+	a.Handle(now, b.Request(now, "", false))
+	return a, b
 }
 
 // BenchmarkMembership measures one node in a fleet of n: protobuf bytes a second
@@ -71,7 +74,7 @@
 	s, other := pair(n, now)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	start, bytes, exchanges, version := now, 0, 0, uint64(8)
+	start, bytes, exchanges, version := now, 0, 0, uint64(9)
 	b.ResetTimer()
 	for b.Loop() {
 		now = now.Add(200 * time.Millisecond)
@@ -79,7 +82,7 @@
 			for range 5 {
 				m := benchMember(2 + rnd.IntN(n-2))
 				m.Version = version
-				version++
+				version += 2
 				other.Answer(now, now, "", membership.Exchange{Self: m, Seq: -1, MembersDigest: other.Digest()})
 				s.Answer(now, now, "", membership.Exchange{Self: m, Seq: -1, MembersDigest: s.Digest()})
 			}
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -40,6 +40,9 @@
 //     data centre comes back or joins, because that member may have been in contact
 //     with the dead one until then. Otherwise a partition that runs through all
 //     data centres would leave both sides with "all live members" and fresh.
+//   - Members that have not been fresh since their start do not count towards this
+//     majority. A node that restarted has lost what its predecessor acknowledged,
+//     and may learn the state from a minority that lacks it.
 //   - A node's own data centre counts only through another node that vouches for
 //     it. If it knows of no other, it counts by itself, but not before the node has
 //     learned the state from elsewhere.
@@ -51,7 +54,9 @@
 //     half of the data centres. A side that was cut off does not become a majority
 //     by forgetting the others.
 //
-// What remains: when a partition runs through a data centre, its smaller part
+// What remains: a process that was paused, replaced under its name and then wakes
+// in a partition in which nobody has heard of its successor counts as the
+// successor there. And when a partition runs through a data centre, its smaller part
 // stops vouching once it holds the larger part dead. The bound then relies on this
 // taking at most Config.DeadGrace longer than on the larger side, and on gossip
 // making a joiner known to every settling node within Config.JoinSettle.
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -135,7 +135,7 @@
 	if m == s.self {
 		return false
 	}
-	m.Version++
+	m.raise(m.Version, s.caughtUp)
 	s.setSelf(m)
 	return true
 }
@@ -189,18 +189,16 @@
 		if !m.supersedes(&own) {
 			return false
 		}
-		if m.Status < Dead && !m.Started.After(now) {
-			s.superseded = true
+		if !m.Started.After(now) {
+			s.superseded = true // even if the later process is dead by now
 			return false
 		}
 		// The predecessor's clock was ahead of this node's.
 		own.Started = m.Started.Add(time.Millisecond)
 	case own.Status == Left || m.Status == Alive || m.Version < own.Version:
 		return false
-	default:
-		own.Version = m.Version
 	}
-	own.Version++
+	own.raise(m.Version, s.caughtUp)
 	s.setSelf(own)
 	return true
 }
