Start the lender of a new workspace at once; commit the first ring after 2 s

Nobody has lent for a workspace that was created after the ring epoch in force, so its lender need not wait 9 s for a predecessor. The wait refused the first requests of every new workspace.

--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -16,7 +16,7 @@
 // can drive them with any clock.
 var corePackages = []string{
 	"request", "settings", "changelog", "workspace", "admission", "pressure", "routing",
-	"retry", "claim", "quota", "membership", "quarantine",
+	"retry", "ring", "claim", "quota", "membership", "quarantine",
 }
 
 var bannedImports = map[string]bool{
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -41,6 +41,8 @@
 	eventQueue = 256
 	// maxCalls bounds the exchanges and probes under way.
 	maxCalls = 32
+	// firstRingStable bounds RingStable for the first epoch.
+	firstRingStable = 2 * time.Second
 	// pushConcurrency bounds the pushes under way in one Spread.
 	pushConcurrency = 64
 	// windowEntries is the number of change log entries kept for peers that are
--- a/internal/control/ring.go
+++ b/internal/control/ring.go
@@ -51,7 +51,7 @@
 		s.ring.seq, s.ring.seqAt = seq, now
 	}
 	if c.hooks.NextRing == nil || s.folded == nil || s.ring.busy || now.Before(s.ring.retryAt) ||
-		now.Sub(s.ring.since) < c.cfg.RingStable || !s.members.Fresh(now) {
+		now.Sub(s.ring.since) < c.ringStable(s) || !s.members.Fresh(now) {
 		return
 	}
 	live := s.members.Live()
@@ -72,6 +72,15 @@
 	}
 }
 
+// ringStable is shorter for the first epoch, before which nothing can be claimed
+// or lent.
+func (c *Control) ringStable(s *state) time.Duration {
+	if s.folded.RingSeq == 0 {
+		return min(c.cfg.RingStable, firstRingStable)
+	}
+	return c.cfg.RingStable
+}
+
 // LeaveRing commits a ring epoch without this node and without other members
 // that are leaving, so that its successors take over before it stops.
 func (c *Control) LeaveRing(ctx context.Context) {
--- a/internal/rates/lender.go
+++ b/internal/rates/lender.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/control"
 	"github.com/teaselseam/teaselseam/internal/quota"
 	"github.com/teaselseam/teaselseam/internal/ring"
 	"github.com/teaselseam/teaselseam/internal/settings"
@@ -25,13 +26,7 @@
 		return
 	}
 	if seq := snap.State.Seq; seq != s.seq {
-		s.seq = seq
-		for _, name := range workspaces(snap.State.Keys.Issued(), snap.Settings) {
-			s.layoutLender(now, name, epoch, snap.Settings.Workspace(name), snap.State.RingSeq, seq)
-		}
-		for name, b := range s.borrowers {
-			b.SetLenders(s.lendersOf(name))
-		}
+		s.layoutAll(now, snap, epoch)
 	}
 	if settled := s.source.SettledSeq(); settled != s.settled {
 		s.settled = settled
@@ -41,52 +36,69 @@
 	}
 }
 
+func (s *Service) layoutAll(now time.Time, snap *control.Snapshot, epoch *ring.Epoch) {
+	names := workspaces(snap)
+	// Without a newer ring since the last layout, a workspace that is new since
+	// then was created after the epoch, so nobody has lent for it yet.
+	sameRing := s.known != nil && s.seq >= snap.State.RingSeq
+	for name := range names {
+		first := epoch.Number() == 1 || sameRing && !s.known[name]
+		s.layoutLender(now, name, epoch, snap, first)
+	}
+	for name := range s.lenders {
+		if !names[name] {
+			s.layoutLender(now, name, epoch, snap, false)
+		}
+	}
+	s.seq, s.known = snap.State.Seq, names
+	for name, b := range s.borrowers {
+		b.SetLenders(s.lendersOf(name))
+	}
+}
+
 // workspaces returns the names of all workspaces that have a key or a branch.
-func workspaces[K comparable](issued map[K]string, compiled *settings.Compiled) []string {
-	set := map[string]bool{}
-	for _, name := range issued {
-		set[name] = true
+func workspaces(snap *control.Snapshot) map[string]bool {
+	names := map[string]bool{}
+	for _, name := range snap.State.Keys.Issued() {
+		names[name] = true
 	}
-	for b := range compiled.Tree().Branches() {
+	for b := range snap.Settings.Tree().Branches() {
 		if b.Kind == settings.KindWorkspace {
-			set[b.Name] = true
+			names[b.Name] = true
 		}
 	}
-	out := make([]string, 0, len(set))
-	for name := range set {
-		out = append(out, name)
-	}
-	return out
+	return names
 }
 
-func (s *Service) layoutLender(now time.Time, workspace string, epoch *ring.Epoch, w *settings.Workspace, ringSeq, seq int64) {
-	limit := quota.Limit{Rate: w.Rate, Burst: w.Burst}
-	part := quota.Part(limit, workspace, s.self.DataCentre, epoch.DataCentres())
+// layoutLender starts, changes or closes the lender of one workspace. first means
+// that nobody has lent for the workspace before.
+func (s *Service) layoutLender(now time.Time, workspace string, epoch *ring.Epoch, snap *control.Snapshot, first bool) {
+	w := snap.Settings.Workspace(workspace)
+	part := quota.Part(quota.Limit{Rate: w.Rate, Burst: w.Burst}, workspace, s.self.DataCentre, epoch.DataCentres())
 	chosen, ok := epoch.Lender(workspace, s.self.DataCentre)
 	mine := ok && chosen.Node == s.self.Node && chosen.Incarnation == s.self.Incarnation
 	l := s.lenders[workspace]
 	switch {
 	case mine && (l == nil || l.closed):
-		l = s.newLender(now, workspace, part, epoch, ringSeq)
+		l = s.newLender(now, workspace, part, chosen, snap.State.RingSeq, first)
 	case !mine && l != nil && !l.closed:
-		s.closeLender(now, l, chosen, ringSeq)
+		s.closeLender(now, l, chosen, snap.State.RingSeq)
 	case mine && part != l.part:
 		l.part = part
-		l.Layout(now, seq, part)
+		l.Layout(now, snap.State.Seq, part)
 	}
 	if l != nil {
 		l.SetPeers(s.otherLenders(workspace))
 	}
 }
 
-func (s *Service) newLender(now time.Time, workspace string, part quota.Limit, epoch *ring.Epoch, ringSeq int64) *lender {
-	self, _ := epoch.Lender(workspace, s.self.DataCentre)
+func (s *Service) newLender(now time.Time, workspace string, part quota.Limit, self ring.Member, ringSeq int64, first bool) *lender {
 	l := &lender{workspace: workspace, part: part, Lender: quota.NewLender(quota.LenderConfig{
 		Workspace: workspace, Self: lenderID(self), Since: ringSeq, Part: part,
 	})}
 	s.lenders[workspace] = l
-	if epoch.Number() == 1 {
-		// Nobody lent before the first epoch, so there is nothing to wait for.
+	if first {
+		// There is no predecessor to wait for.
 		l.HandedOver(now, quota.HandOver{
 			Workspace: workspace, DataCentre: s.self.DataCentre, Since: ringSeq, Incarnation: s.self.Incarnation,
 			Part: part, Level: part.Burst,
--- a/internal/rates/rates.go
+++ b/internal/rates/rates.go
@@ -61,6 +61,7 @@
 	mu        sync.Mutex
 	seq       int64 // change log entry that lenders and borrowers are laid out for
 	settled   int64
+	known     map[string]bool // workspaces at seq
 	borrowers map[string]*borrower
 	lenders   map[string]*lender
 
--- a/internal/rates/wire.go
+++ b/internal/rates/wire.go
@@ -42,7 +42,7 @@
 func grantToPB(g quota.Grant) *peerpb.BorrowResponse {
 	return &peerpb.BorrowResponse{
 		Sequence: g.Sequence, Granted: g.Granted, LifeUs: g.Life.Microseconds(),
-		RetryAfterUs: g.RetryAfter.Microseconds(), NotLender: g.NotLender,
+		RetryAfterUs: g.RetryAfter.Microseconds(), NotLender: g.NotLender, AheadUs: g.Ahead.Microseconds(),
 	}
 }
 
@@ -50,6 +50,7 @@
 	return quota.Grant{
 		Sequence: pb.Sequence, Granted: pb.Granted, Life: time.Duration(pb.LifeUs) * time.Microsecond,
 		RetryAfter: time.Duration(pb.RetryAfterUs) * time.Microsecond, NotLender: pb.NotLender,
+		Ahead: time.Duration(pb.AheadUs) * time.Microsecond,
 	}
 }
 
