--- a/internal/ingress/fixture_test.go
+++ b/internal/ingress/fixture_test.go
@@ -55,12 +55,17 @@
 	waiting chan struct{}
 	admit   chan struct{}
 	running atomic.Int64
+	refuse  atomic.Bool
 }
 
 func (l *fakeLimiter) Load() call.Load            { return call.Load{} }
 func (l *fakeLimiter) ServiceTime() time.Duration { return 0 }
 
 func (l *fakeLimiter) Acquire(ctx context.Context, _ *call.Call) (func(guard.Result), *request.Refusal) {
+	if l.refuse.Load() {
+		r := request.Refuse(request.ReasonOverload, time.Second)
+		return nil, &r
+	}
 	select {
 	case l.waiting <- struct{}{}:
 	default:
