--- a/cmd/capacity/measure.go
+++ b/cmd/capacity/measure.go
@@ -86,8 +86,11 @@
 		if err != nil {
 			return s, err
 		}
-		s.sent += m[`teaselseam_control_bytes_total{direction="sent"}`]
-		s.received += m[`teaselseam_control_bytes_total{direction="received"}`]
+		// Without calls, all bytes on the peer listener are control as well.
+		for _, name := range []string{"teaselseam_control_bytes_total", "teaselseam_peer_listener_bytes_total"} {
+			s.sent += m[name+`{direction="sent"}`]
+			s.received += m[name+`{direction="received"}`]
+		}
 	}
 	return s, nil
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/teaselseam/teaselseam/internal/admission"
 	"github.com/teaselseam/teaselseam/internal/membership"
+	"github.com/teaselseam/teaselseam/internal/peer"
 )
 
 // registerMetrics adds the figures that are read when the metrics are served.
@@ -19,6 +20,14 @@
 	n.metrics.Gauge("teaselseam_queue_wait_seconds", limiter(func(l admission.Load) float64 { return l.Wait.Seconds() }))
 	n.metrics.Gauge("teaselseam_service_time_seconds", limiter(func(l admission.Load) float64 { return l.ServiceTime.Seconds() }))
 	n.metrics.Gauge("teaselseam_shed_level", limiter(func(l admission.Load) float64 { return float64(l.ShedLevel) }))
+	traffic := func(name string, t *peer.Traffic) {
+		n.metrics.Gauge(name+`{direction="sent"}`, func() float64 { return float64(t.Sent()) })
+		n.metrics.Gauge(name+`{direction="received"}`, func() float64 { return float64(t.Received()) })
+	}
+	traffic("teaselseam_control_bytes_total", n.pool.Control())
+	traffic("teaselseam_peer_listener_bytes_total", &n.peerTraffic)
+	n.metrics.Gauge("teaselseam_claims_held", func() float64 { return float64(n.claims.Held()) })
+	n.metrics.Gauge("teaselseam_control_events_dropped", func() float64 { return float64(n.control.DroppedEvents()) })
 	n.metrics.Gauge("teaselseam_fresh", func() float64 {
 		if n.control.Fresh(time.Now()) {
 			return 1
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,11 +35,14 @@
 
 // Limits and timers of the listeners.
 const (
-	maxHeaderBytes    = 64 << 10
-	headerTimeout     = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	keepAliveInterval = 2 * time.Second
-	keepAliveProbes   = 3
+	maxHeaderBytes = 64 << 10
+	// maxPeerHeaderBytes leaves room for what the ingress adds to the largest
+	// header that it accepts.
+	maxPeerHeaderBytes = maxHeaderBytes + 16<<10
+	headerTimeout      = 5 * time.Second
+	idleTimeout        = 2 * time.Minute
+	keepAliveInterval  = 2 * time.Second
+	keepAliveProbes    = 3
 	// longestWrite exceeds the longest timeout of a route. The ingress sets a
 	// shorter bound for each request; this one makes the server renew it.
 	longestWrite = 11 * time.Minute
@@ -65,11 +68,13 @@
 	ingress *ingress.Ingress
 	pool    *peer.Pool
 	metrics *obs.Metrics
-	claims  *claims.Service
-	rates   *rates.Service
-	crashes *guard.Crashes
-	admin   *adminapi.API
-	servers []*server
+	// peerTraffic counts the bytes on the peer listener: control and forwarded calls.
+	peerTraffic peer.Traffic
+	claims      *claims.Service
+	rates       *rates.Service
+	crashes     *guard.Crashes
+	admin       *adminapi.API
+	servers     []*server
 }
 
 // server is an HTTP server with its listener.
@@ -171,6 +176,10 @@
 	s.ReadHeaderTimeout = headerTimeout
 	s.IdleTimeout = idleTimeout
 	s.MaxHeaderBytes = maxHeaderBytes
+	if s.TLSConfig != nil {
+		s.MaxHeaderBytes = maxPeerHeaderBytes
+		l = n.peerTraffic.Listener(l)
+	}
 	s.ErrorLog = slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)
 	n.servers = append(n.servers, &server{Server: s, listener: l, tls: s.TLSConfig != nil})
 	return nil
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -43,6 +43,8 @@
 	http  *http.Client
 	mu    sync.Mutex
 	peers map[string]*client
+
+	control, calls Traffic
 }
 
 // client is the twirp client of one peer.
@@ -54,14 +56,16 @@
 
 // NewPool returns a pool that authenticates with the given credentials.
 func NewPool(creds Credentials) *Pool {
-	transport := newTransport(creds)
+	p := &Pool{creds: creds, peers: map[string]*client{}}
+	transport := newTransport(creds, &p.calls)
 	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout}
-	return &Pool{creds: creds, http: &http.Client{Transport: transport}, peers: map[string]*client{}}
+	p.http = &http.Client{Transport: transport}
+	return p
 }
 
-func newTransport(creds Credentials) *http.Transport {
+func newTransport(creds Credentials, traffic *Traffic) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: serverPingInterval}).DialContext,
+		DialContext:         traffic.dialer(&net.Dialer{Timeout: dialTimeout, KeepAlive: serverPingInterval}),
 		TLSClientConfig:     creds.Client.Clone(), // http.Transport changes it
 		ForceAttemptHTTP2:   true,
 		DisableCompression:  true,
@@ -70,6 +74,9 @@
 	}
 }
 
+// Control returns the traffic of the twirp calls that this node makes.
+func (p *Pool) Control() *Traffic { return &p.control }
+
 // HTTP returns the client for forwarded calls.
 func (p *Pool) HTTP() *http.Client { return p.http }
 
@@ -83,7 +90,7 @@
 		if len(p.peers) >= maxPeers {
 			p.dropOldest()
 		}
-		t := &controlTransport{creds: p.creds, base: newTransport(p.creds)}
+		t := &controlTransport{creds: p.creds, traffic: &p.control, base: newTransport(p.creds, &p.control)}
 		c = &client{Peer: peerpb.NewPeerProtobufClient("https://"+address, &http.Client{Transport: t}), transport: t}
 		p.peers[address] = c
 	}
@@ -115,9 +122,10 @@
 // controlTransport carries the twirp calls to one peer. It needs no pings: a call
 // that fails makes the next one use a new connection.
 type controlTransport struct {
-	creds Credentials
-	mu    sync.Mutex
-	base  *http.Transport
+	creds   Credentials
+	traffic *Traffic
+	mu      sync.Mutex
+	base    *http.Transport
 }
 
 // RoundTrip implements http.RoundTripper.
@@ -148,7 +156,7 @@
 func (t *controlTransport) replace(failed *http.Transport) {
 	t.mu.Lock()
 	if t.base == failed {
-		t.base = newTransport(t.creds)
+		t.base = newTransport(t.creds, t.traffic)
 	}
 	t.mu.Unlock()
 	failed.CloseIdleConnections()
--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -345,3 +345,32 @@
 		f.t.Fatal(err)
 	}
 }
+
+// allKnown reports whether every node lists every backend server. A test that
+// kills one right after the start would otherwise leave a node with none.
+func (f *fleet) allKnown() bool {
+	want := 0
+	for _, v := range f.vms {
+		if v.service != "" {
+			want++
+		}
+	}
+	for _, v := range f.vms {
+		var status struct {
+			Nodes []struct{ Service string } `json:"nodes"`
+		}
+		if _, err := f.admin(v, http.MethodGet, "/v1/status", nil, &status); err != nil {
+			return false
+		}
+		got := 0
+		for _, n := range status.Nodes {
+			if n.Service != "" {
+				got++
+			}
+		}
+		if got < want {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/processtest/path_test.go
+++ b/internal/processtest/path_test.go
@@ -37,6 +37,7 @@
 		status, err := f.admin(first, http.MethodPost, "/v1/keys", map[string]string{"workspace": "guild"}, &issued)
 		return err == nil && status == http.StatusOK
 	})
+	f.eventually("every node knows every backend server", f.allKnown)
 	for _, v := range f.vms {
 		f.eventually("requests through "+v.name, func() bool {
 			a, err := v.send("/echo", issued.Key, "warm up")
