--- a/internal/platform/resilient/store_test.go
+++ b/internal/platform/resilient/store_test.go
@@ -10,8 +10,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/changelog"
 	"github.com/teaselseam/teaselseam/internal/platform"
 	"github.com/teaselseam/teaselseam/internal/platform/standin"
+	"github.com/teaselseam/teaselseam/internal/store"
 )
 
 // recorder notes how often each write was sent, what it returned, and the most
@@ -180,3 +182,25 @@
 		}
 	})
 }
+
+// TestEditClosesBreaker guards against a node that does not poll and refuses edits
+// for ever after an outage, because writes are not trials.
+func TestEditClosesBreaker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, inner := newStore(t, standin.Faults{Down: true})
+		for range DefaultMinCalls {
+			_, _ = s.Get(context.Background(), "row")
+		}
+		inner.SetFaults(standin.Faults{})
+		time.Sleep(DefaultMinBackoff)
+		if st := s.Stats(); st.State != Open {
+			t.Fatalf("state before the edit is %v", st.State)
+		}
+		_, err := store.NewLog(s).Commit(context.Background(), "edit", func(*changelog.State) (changelog.Entry, error) {
+			return changelog.Entry{Actor: "ann", QuarantineLift: "fingerprint"}, nil
+		})
+		if err != nil || s.Stats().State != Closed {
+			t.Errorf("edit: %v, state %v", err, s.Stats().State)
+		}
+	})
+}
