--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -124,3 +124,14 @@
 	}
 	return out
 }
+
+// reservedName is the name of the platform among the sources that a node has
+// evidence from (membership.PlatformSource).
+const reservedName = "platform"
+
+func dataCentreName(v string) string {
+	if v == reservedName {
+		return fmt.Sprintf("%q is not allowed as the name of a data centre", v)
+	}
+	return nodeName(v)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -91,7 +91,7 @@
 }{
 	{"node", fields{
 		{"name", field{check: nodeName, set: func(c *Config, v string) { c.Node.Name = v }}},
-		{"data_centre", field{check: nodeName, set: func(c *Config, v string) { c.Node.DataCentre = v }}},
+		{"data_centre", field{check: dataCentreName, set: func(c *Config, v string) { c.Node.DataCentre = v }}},
 		{"region", field{check: nodeName, set: func(c *Config, v string) { c.Node.Region = v }}},
 		{"ingress", field{check: ipPort, set: func(c *Config, v string) { c.Node.Ingress = v }}},
 		{"peer", field{check: dialable, set: func(c *Config, v string) { c.Node.PeerAddr = v }}},
--- a/internal/guard/limiter.go
+++ b/internal/guard/limiter.go
@@ -9,6 +9,7 @@
 	"github.com/teaselseam/teaselseam/internal/admission"
 	"github.com/teaselseam/teaselseam/internal/call"
 	"github.com/teaselseam/teaselseam/internal/control"
+	"github.com/teaselseam/teaselseam/internal/pace"
 	"github.com/teaselseam/teaselseam/internal/request"
 )
 
@@ -16,6 +17,9 @@
 // refusal of a waiting call is sent.
 const tickInterval = 5 * time.Millisecond
 
+// idleTick is how often the limit is looked at while no call waits.
+const idleTick = 100 * time.Millisecond
+
 // AdmissionLimiter is the Limiter of package admission. It is safe for
 // concurrent use.
 type AdmissionLimiter struct {
@@ -24,6 +28,8 @@
 	// encode turns the figures into the header form.
 	encode func(admission.Load) call.Load
 
+	wake chan struct{}
+
 	mu  sync.Mutex
 	ctl *admission.Controller
 }
@@ -32,7 +38,7 @@
 // started.
 func NewAdmissionLimiter(weight func(string) float64, encode func(admission.Load) call.Load) *AdmissionLimiter {
 	cfg := admission.Config{Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	return &AdmissionLimiter{weight: weight, encode: encode, ctl: admission.New(cfg, time.Now())}
+	return &AdmissionLimiter{weight: weight, encode: encode, wake: make(chan struct{}, 1), ctl: admission.New(cfg, time.Now())}
 }
 
 // waiter is the Owner of a ticket that waits. started receives one value: true
@@ -59,6 +65,7 @@
 	case d.Verdict == admission.Refuse:
 		return nil, &d.Refusal
 	case w != nil:
+		pace.Wake(l.wake)
 		if refusal := l.wait(ctx, t, w); refusal != nil {
 			return nil, refusal
 		}
@@ -121,20 +128,17 @@
 
 // Run checks waiting calls until ctx ends.
 func (l *AdmissionLimiter) Run(ctx context.Context) error {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			l.mu.Lock()
-			start, refused := l.ctl.Tick(now)
-			wakeAll(start, true)
-			wakeAll(refused, false)
-			l.mu.Unlock()
-		}
-	}
+	return pace.Run(ctx, tickInterval, idleTick, l.wake, l.tick)
+}
+
+// tick reports whether calls wait.
+func (l *AdmissionLimiter) tick(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	start, refused := l.ctl.Tick(now)
+	wakeAll(start, true)
+	wakeAll(refused, false)
+	return l.ctl.Load().Queued > 0
 }
 
 // Restart forgets what was learned about a backend server that was replaced.
--- a/internal/rates/borrower.go
+++ b/internal/rates/borrower.go
@@ -39,6 +39,7 @@
 	s.mu.Lock()
 	b := s.borrower(workspace, now)
 	b.used = now
+	s.inUse(now)
 	if token, ok := b.Take(now); ok {
 		s.mu.Unlock()
 		return func() { s.refund(b, token) }, nil
--- a/internal/rates/rates.go
+++ b/internal/rates/rates.go
@@ -11,6 +11,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/teaselseam/teaselseam/internal/control"
+	"github.com/teaselseam/teaselseam/internal/pace"
 	"github.com/teaselseam/teaselseam/internal/peer"
 	"github.com/teaselseam/teaselseam/internal/peerpb"
 	"github.com/teaselseam/teaselseam/internal/quota"
@@ -21,6 +22,8 @@
 const (
 	// tickInterval is how often due requests are looked for.
 	tickInterval = 5 * time.Millisecond
+	// idleTick is the same while no workspace is in use.
+	idleTick = 100 * time.Millisecond
 	// borrowTimeout bounds one request to a lender.
 	borrowTimeout = 250 * time.Millisecond
 	// handOverTimeout bounds all tries to hand a bucket over.
@@ -65,6 +68,9 @@
 	borrowers map[string]*borrower
 	lenders   map[string]*lender
 
+	used time.Time // last request of a call or a borrower
+
+	wake      chan struct{}
 	handOvers sync.WaitGroup
 }
 
@@ -73,24 +79,17 @@
 	return &Service{
 		log: log, self: self, source: source, pool: pool,
 		borrowers: map[string]*borrower{}, lenders: map[string]*lender{},
+		wake: make(chan struct{}, 1),
 	}
 }
 
 // Run keeps borrowers and lenders up to date until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-t.C:
-			s.tick(now)
-		}
-	}
+	return pace.Run(ctx, tickInterval, idleTick, s.wake, s.tick)
 }
 
-func (s *Service) tick(now time.Time) {
+// tick reports whether any workspace was in use recently.
+func (s *Service) tick(now time.Time) bool {
 	until := s.source.FreshUntil()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,6 +103,7 @@
 			s.pumpBorrower(b, now)
 		}
 	}
+	return now.Sub(s.used) < idleAfter
 }
 
 // Borrow serves a borrower of another node.
@@ -120,6 +120,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.layout(now)
+	s.inUse(now)
 	l, ok := s.lenders[r.Workspace]
 	if !ok {
 		return quota.Grant{Sequence: r.Sequence, NotLender: true}
@@ -130,6 +131,14 @@
 	return g
 }
 
+// inUse makes the ticks frequent for a while.
+func (s *Service) inUse(now time.Time) {
+	if now.Sub(s.used) >= idleAfter {
+		pace.Wake(s.wake)
+	}
+	s.used = now
+}
+
 // HandOver serves a predecessor that hands its bucket over.
 func (s *Service) HandOver(_ context.Context, req *peerpb.HandOverRequest) (*peerpb.HandOverResponse, error) {
 	now := time.Now()
