--- a/internal/processtest/load_test.go
+++ b/internal/processtest/load_test.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// drainSeconds is the bound of G10, "a few seconds".
-const drainSeconds = 3 * time.Second
+// drainBound is the bound of G10, "a few seconds".
+const drainBound = 3 * time.Second
 
 // TestBackendServerDrains guards against new calls to a backend server that is
 // leaving, and against calls lost because of it (G10).
@@ -130,7 +130,7 @@
 		t.Fatal(err)
 	}
 	resp.Body.Close()
-	time.Sleep(drainSeconds)
+	time.Sleep(drainBound)
 	before := f.total(f.vms[1])
 	sent := loads[0].count()
 	f.eventually("load goes on", func() bool { return loads[0].count() > sent+100 })
