--- a/Makefile
+++ b/Makefile
@@ -7,10 +7,10 @@
 	go run ./cmd/teaselseamd dev
 
 test:
-	go test ./...
+	.ci/test $(TESTFLAGS)
 
 race:
-	go test -race ./...
+	.ci/test -race
 
 fmt:
 	go tool gofumpt -l -w .
--- a/cmd/teaselseamd/dev.go
+++ b/cmd/teaselseamd/dev.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net/http"
 	"os"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/peer"
 	"github.com/teaselseam/teaselseam/internal/platform/standin"
+	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/samplebackend"
 	"github.com/teaselseam/teaselseam/internal/settings"
 	"github.com/teaselseam/teaselseam/internal/store"
@@ -30,6 +32,7 @@
 	devAdmin   = "127.0.0.1:8082"
 	devBackend = "127.0.0.1:8083"
 	devToken   = "dev-operator"
+	devPoll    = 50 * time.Millisecond
 )
 
 const devTree = `
@@ -70,13 +73,42 @@
 	backend := samplebackend.New(log, samplebackend.Config{
 		Service: "sample", Address: devBackend, Ingress: devIngress, Slots: 16, ServiceTime: time.Millisecond, Connections: 100,
 	})
-	fmt.Printf("\ntry:\n\n    curl -i -H '%s: %s' -d hello http://%s/echo\n\noperator token for teaselseam: %s\n\n", "Teaselseam-Key", key, devIngress, devToken)
 	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return announceReady(ctx, key) })
 	g.Go(func() error { return n.Run(ctx) })
 	g.Go(func() error { return backend.Run(ctx) })
 	return g.Wait()
 }
 
+// announceReady prints how to send a request once one is served. That takes about
+// two seconds, because the first ring is committed by then.
+func announceReady(ctx context.Context, key string) error {
+	for !served(ctx, key) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(devPoll):
+		}
+	}
+	fmt.Printf("\ntry:\n\n    curl -i -H '%s: %s' -d hello http://%s/echo\n\noperator token for teaselseam: %s\n\n",
+		request.HeaderKey, key, devIngress, devToken)
+	return nil
+}
+
+func served(ctx context.Context, key string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+devIngress+"/echo", nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set(request.HeaderKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 func devConfig() *config.Config {
 	digest := sha256.Sum256([]byte(devToken))
 	return &config.Config{
