Put queue_time, retry_ratio and max_connections into effect

These settings were parsed and shown but not used. queue_time may no longer be 0, which would refuse every call that has to wait; its default is now the value that admission was measured with, 250 ms. retry_budget is bounded to 64, the bound of package retry. The expected message of one parse test names the new bound.

--- a/internal/guard/limiter.go
+++ b/internal/guard/limiter.go
@@ -148,6 +148,14 @@
 	l.ctl.Restart(time.Now())
 }
 
+// SetBounds changes the longest time in the queue and the largest number of
+// calls at the backend server.
+func (l *AdmissionLimiter) SetBounds(queueTime time.Duration, maxRunning int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ctl.SetBounds(queueTime, maxRunning)
+}
+
 // Report takes the backend server's own figures as a hint.
 func (l *AdmissionLimiter) Report(a control.Announcement) {
 	if a.Slots <= 0 || a.Running < 0 || a.Queued < 0 {
--- a/internal/ingress/announce.go
+++ b/internal/ingress/announce.go
@@ -36,6 +36,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s := in.control.Snapshot().Settings; a.MaxConnections == 0 && s != nil {
+		a.MaxConnections = s.Service(a.Service).MaxConnections
+	}
 	in.backend.Announce(a, time.Now())
 	in.control.Announce(r.Context(), a)
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/ingress/services.go
+++ b/internal/ingress/services.go
@@ -48,11 +48,13 @@
 	// fleetSize is the number of members that the picker was made for.
 	fleetSize int
 	members   map[string]membership.Member
+	ratio     float64 // retries per first attempt that policy was made for
 }
 
 func newService(name string) *service {
 	return &service{
-		name: name,
+		name:  name,
+		ratio: retry.DefaultRatioConfig().Fraction,
 		policy: retry.Policy{
 			Ratio:   retry.NewRatio(retry.DefaultRatioConfig(), time.Now()),
 			Backoff: retry.DefaultBackoff(),
@@ -101,6 +103,7 @@
 		s.fleetSize = size
 		s.picker = routing.NewPicker(routing.DefaultConfig(snap.Self.ID, size, localMembers(snap)), snap.Self.DataCentre)
 	}
+	s.updateRatio(now, snap)
 	s.members = map[string]membership.Member{}
 	var endpoints []routing.Endpoint
 	for _, m := range snap.ByService[s.name] {
@@ -117,6 +120,23 @@
 	s.picker.SetEndpoints(now, endpoints)
 }
 
+// updateRatio takes over a changed retry ratio. A ratio of zero allows no retry.
+func (s *service) updateRatio(now time.Time, snap *control.Snapshot) {
+	if snap.Settings == nil {
+		return
+	}
+	cfg := retry.DefaultRatioConfig()
+	cfg.Fraction = snap.Settings.Service(s.name).RetryRatio
+	if cfg.Fraction == s.ratio {
+		return
+	}
+	if cfg.Fraction == 0 {
+		cfg.Floor = 0
+	}
+	s.ratio = cfg.Fraction
+	s.policy.Ratio = retry.NewRatio(cfg, now)
+}
+
 func localMembers(snap *control.Snapshot) int {
 	n := 0
 	for _, m := range snap.Members {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -240,6 +240,9 @@
 		n.log.Info("backend server announced", "step", "announce", "service", a.Service, "address", a.Address, "instance", a.Instance)
 		n.limiter.Restart()
 	}
+	if s := n.control.Snapshot().Settings; s != nil {
+		n.limiter.SetBounds(s.Service(a.Service).QueueTime, a.MaxConnections)
+	}
 	n.limiter.Report(a)
 }
 
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -87,24 +87,24 @@
 		Doc: "Deadline of requests that name none, and the longest allowed.",
 	},
 	{
-		Key: "retry_budget", Kind: KindRoute, Type: TypeInteger, Unit: "attempts", Min: 0, Max: 100, Default: "3",
+		Key: "retry_budget", Kind: KindRoute, Type: TypeInteger, Unit: "attempts", Min: 0, Max: 64, Default: "3",
 		Doc: "Extra attempts for a whole call tree.",
 	},
 	{
 		Key: "retry_ratio", Kind: KindService, Type: TypeNumber, Unit: "retries per first attempt", Min: 0, Max: 1, Default: "0.1",
-		Doc: "Retries as a fraction of first attempts.",
+		Doc: "Retries as a fraction of first attempts; 0 allows none.",
 	},
 	{
 		Key: "max_connections", Kind: KindService, Type: TypeInteger, Unit: "connections", Min: 1, Max: 100000, Default: "200",
-		Doc: "Connections to one backend server.",
+		Doc: "Connections to one backend server that does not announce a number.",
 	},
 	{
 		Key: "max_body", Kind: KindService, Type: TypeInteger, Unit: "bytes", Min: 0, Max: 64 << 20, Default: "1048576",
 		Doc: "Largest request body.",
 	},
 	{
-		Key: "queue_time", Kind: KindService, Type: TypeDuration, Min: 0, Max: 60, Default: "200ms",
-		Doc: "Longest wait in a guard's queue.",
+		Key: "queue_time", Kind: KindService, Type: TypeDuration, Min: 0.01, Max: 60, Default: "250ms",
+		Doc: "Longest time in which a guard's queue drains.",
 	},
 	{
 		Key: "progress_timeout", Kind: KindService, Type: TypeDuration, Min: 0.01, Max: 60, Default: "2s",
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -30,7 +30,7 @@
 		{"[defaults]\npath = /a\n", "defaults", "path", "fleet-wide default"},
 		{"[mills]\n", "mills", "", "not defaults"},
 		{"[workspace tsk_abc]\n", "workspace (key removed)", "", "invalid name"},
-		{"[service s]\nqueue_time = 61s\n", "service s", "queue_time", "out of bounds 0s to 1m0s"},
+		{"[service s]\nqueue_time = 61s\n", "service s", "queue_time", "out of bounds 10ms to 1m0s"},
 		{"[service s]\nmax_body = 1.5\n", "service s", "max_body", "not a whole number"},
 		{"[route a]\npath = /a\n", "route a", "service", "route has no service"},
 		{"[route a]\nservice = s\n", "route a", "path", "route has no path"},
