--- a/internal/guard/crashes.go
+++ b/internal/guard/crashes.go
@@ -65,7 +65,7 @@
 		return nil, &r
 	}
 	if !q.record.MayStart(now, q.set, id, content) {
-		return nil, refuse(request.ReasonOverload, isolationRetry)
+		return nil, request.Refused(request.ReasonOverload, isolationRetry)
 	}
 	q.record.Start(now, c.Attempt, id, content)
 	return func(completed bool) { q.finish(c.Attempt, completed, id, content) }, nil
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -196,24 +196,24 @@
 	now := time.Now()
 	snap := g.control.Snapshot()
 	if !g.control.Fresh(now) || snap.Settings == nil {
-		return refuse(request.ReasonNodeStale, time.Second)
+		return request.Refused(request.ReasonNodeStale, time.Second)
 	}
 	if !now.Before(c.Deadline) {
-		return refuse(request.ReasonDeadline, 0)
+		return request.Refused(request.ReasonDeadline, 0)
 	}
 	ws, verdict := snap.Keys.Check(c.KeyDigest)
 	switch {
 	case verdict == workspace.Revoked:
-		return refuse(request.ReasonKeyRevoked, 0)
+		return request.Refused(request.ReasonKeyRevoked, 0)
 	case verdict != workspace.Valid:
 		// The ingress knows the key, so this node is behind in the change log.
-		return refuse(request.ReasonNodeStale, 0)
+		return request.Refused(request.ReasonNodeStale, 0)
 	case ws != c.Workspace:
-		return refuse(request.ReasonUnknownKey, 0)
+		return request.Refused(request.ReasonUnknownKey, 0)
 	case g.backend.Draining():
-		return refuse(request.ReasonDraining, 0)
+		return request.Refused(request.ReasonDraining, 0)
 	case !g.backend.Serves(c.Service):
-		return refuse(request.ReasonNoBackend, time.Second)
+		return request.Refused(request.ReasonNoBackend, time.Second)
 	}
 	return nil
 }
@@ -292,11 +292,6 @@
 	return resp, result
 }
 
-func refuse(reason request.Reason, retryAfter time.Duration) *request.Refusal {
-	r := request.Refuse(reason, retryAfter)
-	return &r
-}
-
 // unused is a refusal that returns the call's whole retry budget.
 func unused(c *call.Call, r request.Refusal) *call.Response {
 	resp := call.Refused(r)
--- a/internal/guard/limiter.go
+++ b/internal/guard/limiter.go
@@ -87,7 +87,7 @@
 		} else {
 			wakeAll(l.ctl.Cancel(time.Now(), t), true)
 		}
-		return refuse(reasonOf(ctx), 0)
+		return request.Refused(reasonOf(ctx), 0)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -51,11 +51,11 @@
 		size = limit
 	}
 	if size > limit {
-		return func() {}, refuse(request.ReasonBodyTooLarge, 0)
+		return func() {}, request.Refused(request.ReasonBodyTooLarge, 0)
 	}
 	release, ok := in.bodies.reserve(size, maxBodies)
 	if !ok {
-		return release, refuse(request.ReasonOverload, bodiesRetry)
+		return release, request.Refused(request.ReasonOverload, bodiesRetry)
 	}
 	return release, receiveBody(w, r, c, limit)
 }
@@ -76,11 +76,11 @@
 		_ = connection.SetReadDeadline(time.Time{})
 		return nil
 	case errors.Is(err, call.ErrBodyTooLarge):
-		return refuse(request.ReasonBodyTooLarge, 0)
+		return request.Refused(request.ReasonBodyTooLarge, 0)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return refuse(request.ReasonDeadline, 0)
+		return request.Refused(request.ReasonDeadline, 0)
 	default:
-		return refuse(request.ReasonBadRequest, 0)
+		return request.Refused(request.ReasonBadRequest, 0)
 	}
 }
 
--- a/internal/ingress/fixture_test.go
+++ b/internal/ingress/fixture_test.go
@@ -144,7 +144,7 @@
 	f.backend = guard.NewBackend(guard.Events{})
 	f.backend.Announce(control.Announcement{Service: "echo", Address: backendAddress, Instance: "i1"}, time.Now())
 	f.guard = guard.New(log, incarnation, f.ctl, f.backend, guard.Parts{
-		Limiter: f.limiter, Rate: guard.Open{}, Claims: &fakeClaims{}, Quarantine: guard.Open{},
+		Limiter: f.limiter, Rate: openParts{}, Claims: &fakeClaims{}, Quarantine: openParts{},
 	})
 	target := f.ctl.Snapshot().Self
 	peers := httptest.NewUnstartedServer(f.guard)
@@ -229,3 +229,10 @@
 	tb.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
+
+// openParts admit everything.
+type openParts struct{}
+
+func (openParts) Take(context.Context, string) (func(), *request.Refusal) { return func() {}, nil }
+
+func (openParts) Start(*call.Call) (func(bool), *request.Refusal) { return func(bool) {}, nil }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -180,15 +180,10 @@
 func routeFor(c *settings.Compiled, path, workspace string) (*settings.Route, *request.Refusal) {
 	route, ok := c.MatchRoute(path)
 	if !ok {
-		return nil, refuse(request.ReasonUnknownRoute, 0)
+		return nil, request.Refused(request.ReasonUnknownRoute, 0)
 	}
 	if !route.Allows(workspace) {
-		return nil, refuse(request.ReasonRouteForbidden, 0)
+		return nil, request.Refused(request.ReasonRouteForbidden, 0)
 	}
 	return route, nil
 }
-
-func refuse(reason request.Reason, retryAfter time.Duration) *request.Refusal {
-	r := request.Refuse(reason, retryAfter)
-	return &r
-}
--- a/internal/ingress/newcall.go
+++ b/internal/ingress/newcall.go
@@ -20,7 +20,7 @@
 func (in *Ingress) newCall(r *http.Request, now time.Time) (*call.Call, *guard.Entry, *request.Refusal) {
 	snap := in.control.Snapshot()
 	if !in.control.Fresh(now) || snap.Settings == nil {
-		return nil, nil, refuse(request.ReasonNodeStale, staleRetry)
+		return nil, nil, request.Refused(request.ReasonNodeStale, staleRetry)
 	}
 	c, refusal := newIdentity(r)
 	if refusal != nil {
@@ -28,7 +28,7 @@
 	}
 	// The target of CONNECT is a host; it would be sent on as one.
 	if hasDotSegment(r.URL.Path) || r.Method == http.MethodConnect {
-		return c, nil, refuse(request.ReasonBadRequest, 0)
+		return c, nil, request.Refused(request.ReasonBadRequest, 0)
 	}
 	var parent *guard.Entry
 	if token := r.Header.Get(request.HeaderCall); token != "" {
@@ -43,7 +43,7 @@
 		return c, nil, refusal
 	}
 	if _, dated := c.ID.CreatedAt(); !c.Idempotent && !dated {
-		return c, nil, refuse(request.ReasonIDNotV7, 0)
+		return c, nil, request.Refused(request.ReasonIDNotV7, 0)
 	}
 	c.Header = call.WithoutOwn(r.Header)
 	c.Method = r.Method
@@ -71,7 +71,7 @@
 	}
 	id, err := request.ParseID(given)
 	if err != nil {
-		return nil, refuse(request.ReasonBadRequest, 0)
+		return nil, request.Refused(request.ReasonBadRequest, 0)
 	}
 	return &call.Call{ID: id, Root: id}, nil
 }
@@ -81,11 +81,11 @@
 func (in *Ingress) inherit(r *http.Request, c *call.Call, token string) (*guard.Entry, *request.Refusal) {
 	entry, ok := in.guard.Running().Lookup(token)
 	if !ok || !fromThisVM(r) {
-		return nil, refuse(request.ReasonUnknownKey, 0)
+		return nil, request.Refused(request.ReasonUnknownKey, 0)
 	}
 	parent := entry.Call
 	if parent.Depth+1 > call.MaxDepth {
-		return nil, refuse(request.ReasonBadRequest, 0)
+		return nil, request.Refused(request.ReasonBadRequest, 0)
 	}
 	c.Root = parent.Root
 	c.Workspace = parent.Workspace
@@ -101,7 +101,7 @@
 func authenticate(r *http.Request, c *call.Call, snap *control.Snapshot) *request.Refusal {
 	key := r.Header.Get(request.HeaderKey)
 	if key == "" {
-		return refuse(request.ReasonUnknownKey, 0)
+		return request.Refused(request.ReasonUnknownKey, 0)
 	}
 	c.KeyDigest = workspace.DigestOf(key)
 	return checkKey(c, snap)
@@ -114,9 +114,9 @@
 		c.Workspace = ws
 		return nil
 	case workspace.Revoked:
-		return refuse(request.ReasonKeyRevoked, 0)
+		return request.Refused(request.ReasonKeyRevoked, 0)
 	default:
-		return refuse(request.ReasonUnknownKey, 0)
+		return request.Refused(request.ReasonUnknownKey, 0)
 	}
 }
 
@@ -142,7 +142,7 @@
 	if v := r.Header.Get(request.HeaderImportance); v != "" {
 		var err error
 		if wanted, err = request.ParseImportance(v); err != nil {
-			return refuse(request.ReasonBadRequest, 0)
+			return request.Refused(request.ReasonBadRequest, 0)
 		}
 	}
 	c.Importance = request.Inherit(ceiling, wanted)
@@ -150,7 +150,7 @@
 	if v := r.Header.Get(request.HeaderTimeout); v != "" {
 		timeout, err := call.ParseTimeout(v)
 		if err != nil {
-			return refuse(request.ReasonBadRequest, 0)
+			return request.Refused(request.ReasonBadRequest, 0)
 		}
 		c.Deadline = now.Add(min(timeout, route.Timeout))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,15 @@
 	}
 	changes := store.NewLog(client, store.WithSnapshots(client, store.DefaultSnapshotEvery))
 	n.control = control.New(log, self, changes, n.pool, cfg.Peer.Seeds)
+	n.wireControl(self)
+	n.wireTraffic(self)
+	n.registerMetrics()
+	return n, n.listen(creds, changes)
+}
+
+// wireControl connects what runs between nodes: claims, rates and crash records.
+func (n *Node) wireControl(self membership.Member) {
+	log := n.log
 	source := &rings{log: log, control: n.control}
 	n.claims = claims.New(log, self.ID, self.Incarnation, source, n.pool)
 	n.rates = rates.New(log, rates.Self{Node: self.ID, Incarnation: self.Incarnation, DataCentre: self.DataCentre}, source, n.pool)
@@ -116,6 +125,11 @@
 		Borrow:          n.rates.Borrow,
 		HandOver:        n.rates.HandOver,
 	})
+}
+
+// wireTraffic builds the guard and the ingress.
+func (n *Node) wireTraffic(self membership.Member) {
+	log := n.log
 	n.backend = guard.NewBackend(guard.Events{
 		Announced: n.backendAnnounced,
 		Lost:      n.backendLost,
@@ -130,8 +144,6 @@
 	})
 	forward := ingress.NewForwarder(log, n.pool.HTTP())
 	n.ingress = ingress.New(log, n.control, n.guard, n.backend, forward, ingress.NewServices(), ingress.NewPressureTable(n.weight), n.metrics)
-	n.registerMetrics()
-	return n, n.listen(creds, changes)
 }
 
 func (n *Node) listen(creds peer.Credentials, changes *store.Log) error {
--- a/internal/rates/borrower.go
+++ b/internal/rates/borrower.go
@@ -71,7 +71,7 @@
 		}
 	default:
 	}
-	return refuse(request.ReasonDeadline, 0)
+	return request.Refused(request.ReasonDeadline, 0)
 }
 
 func (s *Service) refund(b *borrower, t quota.Token) {
@@ -88,7 +88,7 @@
 				Workspace: workspace, DataCentre: s.self.DataCentre, Borrower: s.self.Node + "/" + s.self.Incarnation,
 			}),
 			workspace: workspace,
-			refusal:   refuse(request.ReasonShareUnavailable, unavailableRetry),
+			refusal:   request.Refused(request.ReasonShareUnavailable, unavailableRetry),
 			refused:   now,
 		}
 		b.SetLenders(s.lendersOf(workspace))
@@ -121,7 +121,7 @@
 
 // refusalAt returns the last refusal with the time that remains of it.
 func (b *borrower) refusalAt(now time.Time) *request.Refusal {
-	return refuse(b.refusal.Reason, max(0, b.refusal.RetryAfter-now.Sub(b.refused)))
+	return request.Refused(b.refusal.Reason, max(0, b.refusal.RetryAfter-now.Sub(b.refused)))
 }
 
 // borrow sends one request and serves the calls that wait with its answer.
@@ -135,13 +135,13 @@
 	switch {
 	case err != nil:
 		b.Failed(now, r)
-		b.refusal = refuse(request.ReasonShareUnavailable, unavailableRetry)
+		b.refusal = request.Refused(request.ReasonShareUnavailable, unavailableRetry)
 	case grant.NotLender:
 		b.Granted(now, r, grant)
-		b.refusal = refuse(request.ReasonShareUnavailable, unavailableRetry)
+		b.refusal = request.Refused(request.ReasonShareUnavailable, unavailableRetry)
 	default:
 		b.Granted(now, r, grant)
-		b.refusal = refuse(request.ReasonOverShare, grant.RetryAfter)
+		b.refusal = request.Refused(request.ReasonOverShare, grant.RetryAfter)
 	}
 	b.serve(now)
 	s.pumpBorrower(b, now)
--- a/internal/rates/rates.go
+++ b/internal/rates/rates.go
@@ -15,7 +15,6 @@
 	"github.com/teaselseam/teaselseam/internal/peer"
 	"github.com/teaselseam/teaselseam/internal/peerpb"
 	"github.com/teaselseam/teaselseam/internal/quota"
-	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/ring"
 )
 
@@ -166,19 +165,3 @@
 	}
 	return grantFromPB(resp), nil
 }
-
-// Shares describes this node's lenders, for the operator.
-func (s *Service) Shares() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []string
-	for name := range s.lenders {
-		out = append(out, name)
-	}
-	return out
-}
-
-func refuse(reason request.Reason, retryAfter time.Duration) *request.Refusal {
-	r := request.Refuse(reason, retryAfter)
-	return &r
-}
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -131,6 +131,12 @@
 	return Refusal{Reason: reason, Outcome: NotRun, RetryAfter: retryAfter}
 }
 
+// Refused is Refuse for places where a nil refusal means that a call goes on.
+func Refused(reason Reason, retryAfter time.Duration) *Refusal {
+	r := Refuse(reason, retryAfter)
+	return &r
+}
+
 // Unknown returns a refusal of a call that may have run.
 func Unknown(reason Reason) Refusal {
 	return Refusal{Reason: reason, Outcome: MayHaveRun}
