--- a/internal/processtest/pause_test.go
+++ b/internal/processtest/pause_test.go
@@ -73,3 +73,36 @@
 	})
 	requireAllServed(t, load)
 }
+
+// TestPausedGuardRunsOnce guards against a second run when a guard is paused
+// with calls on their way to it, their IDs are sent again through other nodes,
+// and the guard wakes up (F4, G9).
+func TestPausedGuardRunsOnce(t *testing.T) {
+	f := threeNodes(t)
+	key := f.setUp(testTree)
+	f.awaitOrders(key)
+	paused := f.vms[2]
+	paused.node.signal(syscall.SIGSTOP)
+	const requests = 30
+	var ids []string
+	for range requests {
+		id := string(request.NewID())
+		ids = append(ids, id)
+		for _, v := range f.vms[:2] {
+			if _, err := v.send("/order", key, "order", request.HeaderID, id, request.HeaderTimeout, "300"); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	paused.node.signal(syscall.SIGCONT)
+	f.eventually("paused node serves again", func() bool {
+		a, err := paused.send("/order", key, "later")
+		return err == nil && a.status == http.StatusOK
+	})
+	for _, id := range ids {
+		_, _ = paused.send("/order", key, "order", request.HeaderID, id) // whatever the answer, see below
+		if runs := f.runsEverywhere(id); runs > 1 {
+			t.Errorf("%s ran %d times", id, runs)
+		}
+	}
+}
