--- a/cmd/capacity/fleet.go
+++ b/cmd/capacity/fleet.go
@@ -36,6 +36,7 @@
 type node struct {
 	cmd            *exec.Cmd
 	ingress, admin string
+	backend        *exec.Cmd // nil without a backend server
 }
 
 // fleet is a platform stand-in and its nodes.
@@ -81,8 +82,12 @@
 
 func (f *fleet) stop() {
 	for _, n := range f.nodes {
-		_ = n.cmd.Process.Kill() // it may have ended
-		_ = n.cmd.Wait()
+		for _, c := range []*exec.Cmd{n.cmd, n.backend} {
+			if c != nil && c.Process != nil {
+				_ = c.Process.Kill() // it may have ended
+				_ = c.Wait()
+			}
+		}
 	}
 	if f.standin != nil && f.standin.Process != nil {
 		_ = f.standin.Process.Kill()
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -22,6 +22,7 @@
 	Settle      time.Duration `help:"Time after the start before figures are taken." default:"25s"`
 	Window      time.Duration `help:"Time over which figures are taken." default:"20s"`
 	Target      int           `help:"Fleet size to extrapolate to." default:"1800"`
+	CallRate    int           `help:"Calls a second in the measurement of the cost of a call; 0 leaves it out." default:"200"`
 }
 
 // maxNodes keeps the run under a few hundred processes.
@@ -55,6 +56,9 @@
 		all = append(all, f)
 	}
 	printFits(all, float64(c.Target))
+	if c.CallRate > 0 {
+		return c.measureCalls(ctx)
+	}
 	return nil
 }
 
