Charge root calls to their workspace's rate in the model

Cause: without the rate, the model could not tell requests inside a workspace's rate from others. Each root call of our version now takes a token when it is about to run, from one exact bucket for each workspace: 1.25 times its regular load, burst of one second. A refusal with over_share is final at the ingress, as in package ingress, and counts at the gate as failed, as in package guard.

The share of attainable goodput now relates to requests inside the rate. Two more figures split the wrongful refusals: those with over_share, and those of the workspaces that send no more than usual. A third one, "short of the rate", counts useful responses without regard to which requests got them.

--- /dev/null
+++ b/internal/model/bucket_test.go
@@ -0,0 +1,60 @@
+package model
+
+import (
+	"testing"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/request"
+)
+
+// TestBucketBound guards against a bucket that lets more or less than its burst and
+// rate through when requests arrive all the time.
+func TestBucketBound(t *testing.T) {
+	b := newBucket(80) // 100 tokens a second, burst 100
+	taken := 0
+	for at := time.Duration(0); at < 2*time.Second; at += time.Millisecond {
+		if b.take(at) {
+			taken++
+		}
+	}
+	if taken < 298 || taken > 300 {
+		t.Errorf("took %d tokens in 2 s, want the burst of 100 and 2*100", taken)
+	}
+}
+
+// TestRateHolds guards against calls that run without a token, and against a rate
+// that refuses where no workspace is over it.
+func TestRateHolds(t *testing.T) {
+	g := graph(t, "obrecz/chain")
+	w := newWorld(g, Scenarios()[3], Ours, 1)
+	for w.q.step(w.times.stop + responseTime) {
+	}
+	c, rate := w.stats.spaces[noisyWorkspace], baseLoad*g.Capacity(1)*shares[noisyWorkspace]*rateMargin
+	// A request that arrives at the end of the overload runs before its client gives up.
+	most := rate * (overloadTime.Seconds() + clientTimeout.Seconds() + burstSeconds)
+	least := 0.9 * rate * (overloadTime.Seconds() + burstSeconds)
+	if u := float64(c.useful); u > most || u < least {
+		t.Errorf("%.0f useful of the noisy workspace, want %.0f to %.0f", u, least, most)
+	}
+	if f := Run(g, Scenarios()[0], Ours, 1); f.WrongfulShare > 0 {
+		t.Errorf("%.4f refused as over_share in the steady scenario", f.WrongfulShare)
+	}
+}
+
+// TestOverShareIsFinal guards against a retry at another guard, where the same rate
+// holds, and against a picker that takes the refusal for a sign of load.
+func TestOverShareIsFinal(t *testing.T) {
+	w := newWorld(graph(t, "obrecz/chain"), Scenarios()[0], Ours, 1)
+	r := refused(request.Refuse(request.ReasonOverShare, 0))
+	if r.outcome != request.NotRun {
+		t.Errorf("outcome %v, want not run", r.outcome)
+	}
+	if _, again := w.policy.retry(&call{w: w}, r); again {
+		t.Error("over_share is retried")
+	}
+	other := r
+	other.reason = request.ReasonOverload
+	if kindOf(r) == kindOf(other) {
+		t.Error("the picker cannot tell over_share from overload")
+	}
+}
--- a/internal/model/compare.go
+++ b/internal/model/compare.go
@@ -105,6 +105,9 @@
 			Name: "wrongful refusals", Figure: func(f Figures) float64 { return f.Wrongful },
 			Target: "< 0.001", Met: func(r Range[float64]) bool { return r.Max < 0.001 },
 		},
+		{Name: "wrongful, over_share", Figure: func(f Figures) float64 { return f.WrongfulShare }},
+		{Name: "wrongful, quiet workspaces", Figure: func(f Figures) float64 { return f.WrongfulQuiet }},
+		{Name: "short of the rate", Figure: func(f Figures) float64 { return f.Shortfall }},
 		{
 			Name: "amplification", Figure: func(f Figures) float64 { return f.Amplification },
 			Target: "<= 1.1", Met: func(r Range[float64]) bool { return r.Max <= 1.1 },
--- a/internal/model/doc.go
+++ b/internal/model/doc.go
@@ -13,5 +13,7 @@
 // three attempts at each hop and cancels nothing. Ours uses packages admission,
 // pressure, retry and routing, passes deadlines on and cancels.
 //
-// The fleet-wide rate limit (package quota) is not part of the model.
+// Ours also charges each root call to its workspace before it runs, with one exact
+// token bucket for each workspace. Package quota keeps the same bound, but loses
+// some tokens on the way; that loss is not in the model.
 package model
--- a/internal/model/ours.go
+++ b/internal/model/ours.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/pressure"
+	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/retry"
 	"github.com/teaselseam/teaselseam/internal/routing"
 )
@@ -25,13 +26,28 @@
 
 // ours uses the decision core.
 type ours struct {
-	w *world
+	w       *world
+	buckets [len(shares)]*bucket // of the workspaces
+}
+
+func newOurs(w *world) *ours {
+	o := &ours{w: w}
+	for ws := range o.buckets {
+		o.buckets[ws] = newBucket(baseLoad * w.graph.Capacity(1) * shares[ws])
+	}
+	return o
 }
 
 func (o *ours) newGate(*worker) gate {
 	return newAdmissionGate(o.w.q.time(), o.w.rnd)
 }
 
+// takeToken charges root calls only, as the guard does. Nothing is refunded, because
+// each call that takes a token is handed to the backend server.
+func (o *ours) takeToken(a *attempt) bool {
+	return a.call.service != 0 || o.buckets[a.call.req.workspace].take(o.w.q.now)
+}
+
 // target returns the state of an ingress for a service, created at its first use.
 func (o *ours) target(in *ingress, service int) *target {
 	t := in.targets[service]
@@ -72,6 +88,9 @@
 }
 
 func (o *ours) retry(c *call, r result) (time.Duration, bool) {
+	if r.reason == request.ReasonOverShare {
+		return 0, false // the rate holds at every guard; the ingress tries no other
+	}
 	a := retry.Attempt{
 		Outcome: r.outcome, Idempotent: c.req.idempotent, Downstream: r.downstream,
 		Retries: c.tries - 1, Remaining: c.req.deadline - o.w.q.now,
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -12,6 +12,9 @@
 // and the gate that they put before a backend server.
 type policy interface {
 	newGate(k *worker) gate
+	// takeToken charges an attempt to its workspace before it runs. It returns false if
+	// the workspace is over its rate.
+	takeToken(a *attempt) bool
 	// begin starts a call or refuses it early.
 	begin(c *call)
 	pick(c *call) (string, bool)
@@ -43,6 +46,8 @@
 	return &fixedGate{slots: n.w.graph.Services[k.service].Slots}
 }
 
+func (n *naive) takeToken(*attempt) bool { return true }
+
 func (n *naive) begin(c *call) { c.try() }
 
 func (n *naive) pick(c *call) (string, bool) {
@@ -61,12 +66,12 @@
 func (n *naive) endpointsChanged(int)                      {}
 
 // kindOf maps a result to what the picker learns from it. A failure further down
-// says nothing about the endpoint.
+// and a refusal of the workspace say nothing about the endpoint.
 func kindOf(r result) routing.Kind {
 	switch {
 	case r.completed():
 		return routing.Completed
-	case r.downstream:
+	case r.downstream, r.reason == request.ReasonOverShare:
 		return routing.Cancelled
 	case r.outcome == request.NotRun && r.reason != request.ReasonNoBackend:
 		return routing.Refused
--- a/internal/model/scenario.go
+++ b/internal/model/scenario.go
@@ -69,11 +69,8 @@
 
 var workspaceNames = [len(shares)]string{"w0", "w1", "w2", "w3", "w4", "w5", "w6", "w7"}
 
-const (
-	noisyWorkspace = 0   // the one that sends more in Scenario.Noisy
-	rateMargin     = 1.2 // rate of a workspace relative to its base load
-	burstSeconds   = 1   // burst of a workspace, in seconds of its rate
-)
+// noisyWorkspace is the one that sends more in Scenario.Noisy.
+const noisyWorkspace = 0
 
 // rate returns the arrivals a second of a workspace at a time.
 func (s *Scenario) rate(t times, workspace int, base float64, at time.Duration) float64 {
--- a/internal/model/stats.go
+++ b/internal/model/stats.go
@@ -26,6 +26,8 @@
 
 	// Requests inside the workspace's rate.
 	inRate, inRateUseful, inRateRefused int
+
+	overShare int // part of inRateRefused with reason over_share
 }
 
 // stats collects what one run measures.
@@ -86,6 +88,9 @@
 	}
 	if res.refused {
 		c.inRateRefused++
+		if res.reason == request.ReasonOverShare {
+			c.overShare++
+		}
 	}
 }
 
@@ -94,11 +99,14 @@
 type Figures struct {
 	Goodput       float64       // useful responses a second that reach clients in the overload
 	OfCapacity    float64       // share of the capacity in the overload
-	OfAttainable  float64       // share of the smaller of capacity and arrivals
+	OfAttainable  float64       // share of the smaller of capacity and arrivals inside the rate
 	Recovery      time.Duration // from the end of the overload; NotRecovered if not within the run
 	Worst         float64       // useful share of the requests inside the rate, of the worst-served workspace
 	Critical      float64       // useful share of requests of the highest importance
 	Wrongful      float64       // refused share of requests inside their workspace's rate
+	WrongfulShare float64       // the part of Wrongful with reason over_share
+	WrongfulQuiet float64       // as Wrongful, without the workspace that sends more than the others
+	Shortfall     float64       // useful responses missing from those inside the rate, whichever requests got them
 	Amplification float64       // attempts at all hops, relative to those not due to a retry
 }
 
@@ -106,22 +114,29 @@
 const NotRecovered = afterTime
 
 func (s *stats) figures(sc *Scenario) Figures {
-	var total counts
+	var total, quiet counts
+	missing := 0
 	f := Figures{Recovery: s.recovery(), Worst: 1}
 	for ws, c := range s.spaces {
-		total.arrived += c.arrived
 		total.inRate += c.inRate
 		total.inRateRefused += c.inRateRefused
+		total.overShare += c.overShare
+		missing += max(c.inRate-c.useful, 0)
 		if sc.Noisy == 1 || ws != noisyWorkspace {
+			quiet.inRate += c.inRate
+			quiet.inRateRefused += c.inRateRefused
 			f.Worst = min(f.Worst, share(c.inRateUseful, c.inRate))
 		}
 	}
 	seconds := overloadTime.Seconds()
 	f.Goodput = float64(s.useful) / seconds
 	f.OfCapacity = f.Goodput / s.capacity
-	f.OfAttainable = f.Goodput / min(s.capacity, float64(total.arrived)/seconds)
+	f.OfAttainable = f.Goodput / min(s.capacity, float64(total.inRate)/seconds)
 	f.Critical = share(s.critical.useful, s.critical.arrived)
 	f.Wrongful = share(total.inRateRefused, total.inRate)
+	f.WrongfulShare = share(total.overShare, total.inRate)
+	f.WrongfulQuiet = share(quiet.inRateRefused, quiet.inRate)
+	f.Shortfall = share(missing, total.inRate)
 	f.Amplification = 1
 	if first := s.attempts - s.repeated; first > 0 {
 		f.Amplification = float64(s.attempts) / float64(first)
--- a/internal/model/worker.go
+++ b/internal/model/worker.go
@@ -92,8 +92,14 @@
 }
 
 // start hands an attempt to the backend server, which queues it if the gate let in
-// more calls than there are slots.
+// more calls than there are slots. An attempt over its workspace's rate is refused
+// and counts at the gate as failed, since the backend server did not see it.
 func (k *worker) start(a *attempt) {
+	if !k.w.policy.takeToken(a) {
+		a.refuse(request.Refuse(request.ReasonOverShare, 0))
+		k.startAll(k.gate.finish(k.w.q.time(), a, admission.Failed))
+		return
+	}
 	a.running = true
 	if k.busy >= k.w.graph.Services[k.service].Slots {
 		k.inner = append(k.inner, a)
--- a/internal/model/world.go
+++ b/internal/model/world.go
@@ -58,7 +58,7 @@
 	w.stats = newStats(w.times, g.Capacity(sc.SlowLast))
 	w.policy = &naive{w}
 	if v == Ours {
-		w.policy = &ours{w}
+		w.policy = newOurs(w)
 	}
 	w.build()
 	w.arrivals()
@@ -145,8 +145,7 @@
 	number := uint64(0)
 	for ws := range shares {
 		rnd := rand.New(rand.NewPCG(w.seed, uint64(100+ws)))
-		rate := base * shares[ws] * rateMargin
-		tokens, filled := rate*burstSeconds, time.Duration(0)
+		within := newBucket(base * shares[ws])
 		var next func()
 		plan := func() {
 			gap := rnd.ExpFloat64() / w.sc.rate(w.times, ws, base, w.q.now)
@@ -156,13 +155,9 @@
 			if w.q.now >= w.times.stop {
 				return
 			}
-			tokens = min(tokens+rate*(w.q.now-filled).Seconds(), rate*burstSeconds)
-			filled = w.q.now
 			number++
 			r := &req{w: w, number: number<<8 | uint64(ws), workspace: ws, arrived: w.q.now}
-			if r.inRate = tokens >= 1; r.inRate {
-				tokens--
-			}
+			r.inRate = within.take(w.q.now)
 			r.importance = drawImportance(rnd)
 			r.idempotent = rnd.Float64() < 0.7
 			w.stats.arrive(r)
