Treat refusals in the model as package ingress does

The model told the picker of a refusal with reason deadline as a sign of load, and of a missing backend server as a failure, which can eject the endpoint.

Details of wrongful refusals are marked, so that a printer can leave them out.

--- a/internal/model/compare.go
+++ b/internal/model/compare.go
@@ -81,6 +81,9 @@
 	Figure func(Figures) float64
 	Target string // of section 1.6 of the design page; empty if there is none
 	Met    func(Range[float64]) bool
+
+	Detail    bool // explains another figure; not printed where it is 0 for ours
+	NoisyOnly bool // differs from the figure that it explains only if one workspace sends more
 }
 
 // Quantities returns the printed figures in order.
@@ -105,9 +108,9 @@
 			Name: "wrongful refusals", Figure: func(f Figures) float64 { return f.Wrongful },
 			Target: "< 0.001", Met: func(r Range[float64]) bool { return r.Max < 0.001 },
 		},
-		{Name: "wrongful, over_share", Figure: func(f Figures) float64 { return f.WrongfulShare }},
-		{Name: "wrongful, quiet workspaces", Figure: func(f Figures) float64 { return f.WrongfulQuiet }},
-		{Name: "short of the rate", Figure: func(f Figures) float64 { return f.Shortfall }},
+		{Name: "wrongful, over_share", Figure: func(f Figures) float64 { return f.WrongfulShare }, Detail: true},
+		{Name: "wrongful, quiet workspaces", Figure: func(f Figures) float64 { return f.WrongfulQuiet }, Detail: true, NoisyOnly: true},
+		{Name: "short of the rate", Figure: func(f Figures) float64 { return f.Shortfall }, Detail: true},
 		{
 			Name: "amplification", Figure: func(f Figures) float64 { return f.Amplification },
 			Target: "<= 1.1", Met: func(r Range[float64]) bool { return r.Max <= 1.1 },
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -65,17 +65,22 @@
 func (n *naive) passesDeadline() bool                      { return false }
 func (n *naive) endpointsChanged(int)                      {}
 
-// kindOf maps a result to what the picker learns from it. A failure further down
-// and a refusal of the workspace say nothing about the endpoint.
+// kindOf maps a result to what the picker learns from it, as package ingress does. A
+// failure further down and a refusal of this request only say nothing about the
+// endpoint.
 func kindOf(r result) routing.Kind {
 	switch {
 	case r.completed():
 		return routing.Completed
-	case r.downstream, r.reason == request.ReasonOverShare:
+	case r.downstream:
 		return routing.Cancelled
-	case r.outcome == request.NotRun && r.reason != request.ReasonNoBackend:
+	}
+	switch r.reason {
+	case request.ReasonOverload, request.ReasonNoBackend:
 		return routing.Refused
-	default:
+	case request.ReasonPeerLost, request.ReasonBackendLost:
 		return routing.Failed
+	default:
+		return routing.Cancelled
 	}
 }
