Do not trust latency alone when the startup of the limit ends

Cause: at 70 % load the demand never ended the startup, so the limiters of the 15-slot service were still in it when the service became 10x slower. The cut that ends the startup set the limit to what the throughput needs at the old latency: 32 to 2 within 0.6 s (31.9 running, 572 ms against a baseline of 21.8 ms). The next window took 2.8 s at 11 calls/s, and from 2 the steady steps took about 2.5 s to reach 15. The cut now leaves at least the calls that ran without queueing.

Ruled out by the trace: timeouts and refusals (no window had any), and the probe, which these limiters never reached.

The new test failed with limit 4 without the change.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -115,6 +115,7 @@
 	baseline   float64 // latency without queueing, in seconds; 0 if unknown
 	baselineAt time.Time
 	growth     float64
+	proven     float64 // most running calls of a window in which nothing queued
 
 	anchor      sample // measured before the first cut
 	anchorLimit float64
@@ -138,7 +139,7 @@
 // restart forgets what was learned from the previous backend server process.
 func (l *limiter) restart(now time.Time) {
 	l.limit, l.phase, l.growth = l.initial, startup, minGrowth
-	l.baseline, l.baselineAt = 0, now
+	l.baseline, l.baselineAt, l.proven = 0, now, 0
 	l.quietTill = time.Time{}
 	l.begin(now)
 }
@@ -241,6 +242,9 @@
 	}
 	l.learnBaseline(now, s)
 	ratio := s.latency / l.baseline
+	if ratio < growRatio {
+		l.proven = max(l.proven, s.running)
+	}
 	defer func() { l.previous = s.throughput }()
 	switch {
 	case s.full < saturatedPart:
@@ -300,6 +304,8 @@
 // start doubles the limit until the backend server sheds calls or latency rises.
 // It then goes back to the number of calls that were served at once, or that the
 // measured throughput sustains at the baseline latency.
+// The latter is far too low if a service behind became slow, so the calls that
+// ran at once without queueing are the floor.
 func (l *limiter) start(now time.Time, s sample, ratio float64) {
 	if s.refused > refusedPart {
 		l.phase = steady
@@ -308,7 +314,8 @@
 	}
 	if ratio > overRatio && s.throughput < l.previous*startupGain {
 		l.phase = steady
-		l.set(now, s.running/ratio*growRatio, s)
+		needed := max(s.running/ratio, l.proven)
+		l.set(now, min(needed*growRatio, l.limit), s)
 		return
 	}
 	l.grow(now, s, ratio)
--- a/internal/admission/limit_test.go
+++ b/internal/admission/limit_test.go
@@ -114,6 +114,30 @@
 	}
 }
 
+// feed ends n calls while running calls with a latency are at the backend server.
+func feed(l *limiter, now time.Time, n, running int, latency time.Duration) time.Time {
+	for range n {
+		now = now.Add(latency / time.Duration(running))
+		l.advance(now, running)
+		l.done(now, running-1, Served, latency)
+	}
+	return now
+}
+
+// TestSlowdownInStartupKeepsTheLimit guards against a limit that collapses if a
+// service becomes slow before demand has ended the startup. The latency is then
+// no sign that the limit is too high.
+func TestSlowdownInStartupKeepsTheLimit(t *testing.T) {
+	l := newLimiter(Config{}.withDefaults(), epoch)
+	now := feed(&l, epoch, startupSamples, l.slots(), 20*time.Millisecond)
+	now = feed(&l, now, 10*startupSamples, 12, 20*time.Millisecond)
+	if l.phase != startup || l.slots() != 16 {
+		t.Fatalf("phase %d, limit %d before the slowdown, want startup with limit 16", l.phase, l.slots())
+	}
+	feed(&l, now, 2*startupSamples, l.slots(), 200*time.Millisecond)
+	atLeast(t, "limit after the slowdown began", float64(l.slots()), 12)
+}
+
 // TestTimeoutsLowerTheLimit guards against a limit that stays where no call is
 // served, since latency and throughput then show nothing.
 func TestTimeoutsLowerTheLimit(t *testing.T) {
