Restore the limit when throughput rises during a probe

Cause: a probe that was cut while a service was slow ends in demandGone if the limit no longer binds when the service recovers. The latency is then low, so the cut stayed: one limiter of the 15-slot service went on with 9.9 although throughput had risen from 68 to 325 calls/s, and took 0.5 s to reach 18.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -248,7 +248,7 @@
 	defer func() { l.previous = s.throughput }()
 	switch {
 	case s.full < saturatedPart:
-		l.demandGone(ratio)
+		l.demandGone(s, ratio)
 		if s.full >= bindingPart && ratio < growRatio && s.refused <= refusedPart {
 			l.grow(now, s, ratio)
 		}
@@ -291,9 +291,11 @@
 }
 
 // demandGone ends a probe that can't be judged because the limit stopped
-// binding. A cut that ended the high latency stays.
-func (l *limiter) demandGone(ratio float64) {
-	if l.phase == probing && ratio > overRatio {
+// binding. A cut that ended the high latency stays, unless throughput rose so
+// much that the end of a slowdown must have done it.
+func (l *limiter) demandGone(s sample, ratio float64) {
+	changed := s.throughput > l.anchor.throughput*changedGain
+	if l.phase == probing && (ratio > overRatio || changed) {
 		l.limit = l.anchorLimit
 	}
 	if l.phase != startup {
