Probe instead of cutting when queueing cannot explain a slow startup

Queueing here lengthens calls at most by the running calls relative to the slots, and at least as many slots exist as calls once ran without queueing. A cut below that number means that queueing does not explain the latency, so the limit stays and the precise measurement and probe decide.

--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -30,7 +30,8 @@
 // limiter (type limiter) combines the two:
 //
 //  1. Startup: starting low, it doubles the limit while there is demand, until
-//     latency rises and throughput no longer does.
+//     latency rises and throughput no longer does. If latency rises more than
+//     queueing here can explain, the limit stays and a probe follows.
 //  2. Steady: while the limit binds at times, it grows in steps that get smaller as latency nears growRatio
 //     times the baseline, and holds above that.
 //  3. Suspect: when latency exceeds overRatio times the baseline, when the
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -306,8 +306,8 @@
 // start doubles the limit until the backend server sheds calls or latency rises.
 // It then goes back to the number of calls that were served at once, or that the
 // measured throughput sustains at the baseline latency.
-// The latter is far too low if a service behind became slow, so the calls that
-// ran at once without queueing are the floor.
+// If that is less than once ran without queueing, queueing here does not explain
+// the latency: a service may have become slow, and only a probe can tell.
 func (l *limiter) start(now time.Time, s sample, ratio float64) {
 	if s.refused > refusedPart {
 		l.phase = steady
@@ -315,9 +315,13 @@
 		return
 	}
 	if ratio > overRatio && s.throughput < l.previous*startupGain {
+		needed := s.running / ratio * growRatio
+		if needed < l.proven {
+			l.phase = suspect
+			return
+		}
 		l.phase = steady
-		needed := max(s.running/ratio, l.proven)
-		l.set(now, min(needed*growRatio, l.limit), s)
+		l.set(now, needed, s)
 		return
 	}
 	l.grow(now, s, ratio)
--- a/internal/admission/limit_test.go
+++ b/internal/admission/limit_test.go
@@ -138,6 +138,16 @@
 	atLeast(t, "limit after the slowdown began", float64(l.slots()), 12)
 }
 
+// TestRecoveryEndsProbe guards against a cut that stays after a slowdown ended in
+// the middle of the probe. Latency is then low, and the limit may no longer bind.
+func TestRecoveryEndsProbe(t *testing.T) {
+	l := newLimiter(Config{}.withDefaults(), epoch)
+	l.phase, l.limit, l.baseline = probing, 10, 0.02
+	l.anchor, l.anchorLimit = sample{running: 17, throughput: 70, latency: 0.24}, 17
+	feed(&l, epoch, 2*verifySamples, 7, 20*time.Millisecond)
+	atLeast(t, "limit after the slowdown", float64(l.slots()), 17)
+}
+
 // TestTimeoutsLowerTheLimit guards against a limit that stays where no call is
 // served, since latency and throughput then show nothing.
 func TestTimeoutsLowerTheLimit(t *testing.T) {
