--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -115,6 +115,7 @@
 	baseline   float64 // latency without queueing, in seconds; 0 if unknown
 	baselineAt time.Time
 	growth     float64
+	proven     float64 // most running calls of a window in which nothing queued
 
 	anchor      sample // measured before the first cut
 	anchorLimit float64
@@ -138,7 +139,7 @@
 // restart forgets what was learned from the previous backend server process.
 func (l *limiter) restart(now time.Time) {
 	l.limit, l.phase, l.growth = l.initial, startup, minGrowth
-	l.baseline, l.baselineAt = 0, now
+	l.baseline, l.baselineAt, l.proven = 0, now, 0
 	l.quietTill = time.Time{}
 	l.begin(now)
 }
@@ -241,10 +242,13 @@
 	}
 	l.learnBaseline(now, s)
 	ratio := s.latency / l.baseline
+	if ratio < growRatio {
+		l.proven = max(l.proven, s.running)
+	}
 	defer func() { l.previous = s.throughput }()
 	switch {
 	case s.full < saturatedPart:
-		l.demandGone(ratio)
+		l.demandGone(s, ratio)
 		if s.full >= bindingPart && ratio < growRatio && s.refused <= refusedPart {
 			l.grow(now, s, ratio)
 		}
@@ -287,9 +291,11 @@
 }
 
 // demandGone ends a probe that can't be judged because the limit stopped
-// binding. A cut that ended the high latency stays.
-func (l *limiter) demandGone(ratio float64) {
-	if l.phase == probing && ratio > overRatio {
+// binding. A cut that ended the high latency stays, unless throughput rose so
+// much that the end of a slowdown must have done it.
+func (l *limiter) demandGone(s sample, ratio float64) {
+	changed := s.throughput > l.anchor.throughput*changedGain
+	if l.phase == probing && (ratio > overRatio || changed) {
 		l.limit = l.anchorLimit
 	}
 	if l.phase != startup {
@@ -300,6 +306,8 @@
 // start doubles the limit until the backend server sheds calls or latency rises.
 // It then goes back to the number of calls that were served at once, or that the
 // measured throughput sustains at the baseline latency.
+// If that is less than once ran without queueing, queueing here does not explain
+// the latency: a service may have become slow, and only a probe can tell.
 func (l *limiter) start(now time.Time, s sample, ratio float64) {
 	if s.refused > refusedPart {
 		l.phase = steady
@@ -307,8 +315,13 @@
 		return
 	}
 	if ratio > overRatio && s.throughput < l.previous*startupGain {
+		needed := s.running / ratio * growRatio
+		if needed < l.proven {
+			l.phase = suspect
+			return
+		}
 		l.phase = steady
-		l.set(now, s.running/ratio*growRatio, s)
+		l.set(now, needed, s)
 		return
 	}
 	l.grow(now, s, ratio)
