Do not fail on a quarantine that follows the second death

In one of three runs with -count=3 TestCrashingRequest ended with "quarantined after 2 deaths": the second process was reaped after its death had been counted, so the loop sent once more and was refused, which is right. The check still fails for a refusal before the second death.

--- a/internal/processtest/share_test.go
+++ b/internal/processtest/share_test.go
@@ -134,7 +134,9 @@
 	for deaths < 2 {
 		a := crash(f.vms[0])
 		deaths = f.deadBackends()
-		if a.reason == string(request.ReasonQuarantined) {
+		// A process that died may not have been reaped when the sending before was
+		// counted; the refusal is wrong only before the second death.
+		if a.reason == string(request.ReasonQuarantined) && deaths < 2 {
 			t.Fatalf("quarantined after %d deaths", deaths)
 		}
 		time.Sleep(time.Second) // the second death must come after the first has spread
