--- a/internal/rates/lender.go
+++ b/internal/rates/lender.go
@@ -20,8 +20,7 @@
 
 // layout brings lenders and borrowers in line with the change log.
 func (s *Service) layout(now time.Time) {
-	snap := s.source.Snapshot()
-	epoch := s.source.Ring().Newest()
+	snap, epoch := s.consistent()
 	if snap.State == nil || epoch == nil {
 		return
 	}
@@ -36,6 +35,19 @@
 	}
 }
 
+// consistent returns a snapshot and the ring of the same state. With a newer ring
+// than the snapshot's, a lender would take the settlement of the older ring entry
+// for that of its own and start before its predecessor has stopped.
+func (s *Service) consistent() (*control.Snapshot, *ring.Epoch) {
+	for {
+		snap := s.source.Snapshot()
+		epoch := s.source.Ring().Newest()
+		if s.source.Snapshot().State == snap.State {
+			return snap, epoch
+		}
+	}
+}
+
 func (s *Service) layoutAll(now time.Time, snap *control.Snapshot, epoch *ring.Epoch) {
 	names := workspaces(snap)
 	// Without a newer ring since the last layout, a workspace that is new since
