--- a/cmd/teaselseamd/main.go
+++ b/cmd/teaselseamd/main.go
@@ -26,6 +26,7 @@
 	LogLevel slog.Level `help:"Lowest level that is logged (debug, info, warn, error)." default:"info"`
 
 	Run             runCmd             `cmd:"" help:"Run a node."`
+	Sidecar         sidecarCmd         `cmd:"" help:"Run the node beside a backend server on the users' platform."`
 	Check           checkCmd           `cmd:"" help:"Check a node's settings file, or a settings tree with --tree, without starting."`
 	Dev             devCmd             `cmd:"" help:"Run one node with a sample backend server and an embedded platform stand-in."`
 	PlatformStandin platformStandinCmd `cmd:"" help:"Run the platform stand-in. For tests only."`
--- /dev/null
+++ b/internal/sidecar/attempts.go
@@ -0,0 +1,179 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/catalog"
+	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/pressure"
+	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/internal/retry"
+	"github.com/teaselseam/teaselseam/internal/routing"
+)
+
+const (
+	// maxPlaces bounds the nodes that one request is offered to. Those that refuse
+	// without passing it to their backend server cost a round trip.
+	maxPlaces = 4
+	// maxFull bounds the nodes that refuse because they are full.
+	maxFull = 2
+	// budgetPart of the retries that users allow is used, because calls made by
+	// repeated runs count as well and nodes count on their own.
+	budgetPart = 0.5
+)
+
+// budgets bounds the retries to each service. It is safe for concurrent use.
+type budgets struct {
+	mu     sync.Mutex
+	ratios map[string]*retry.Ratio
+}
+
+func (b *budgets) ratio(n *Node, service string) *retry.Ratio {
+	if b.ratios == nil {
+		b.ratios = map[string]*retry.Ratio{}
+	}
+	r := b.ratios[service]
+	if r == nil {
+		bounds := n.settings.Bounds
+		nodes := max(len(*n.knowledge.members.Load()), 1)
+		r = retry.NewRatio(retry.RatioConfig{
+			Fraction: budgetPart * bounds.RetryRatio,
+			Floor:    int(budgetPart * bounds.RetryExtra / float64(nodes)),
+			Window:   bounds.RetryWindow,
+		}, time.Now())
+		b.ratios[service] = r
+	}
+	return r
+}
+
+func (b *budgets) first(n *Node, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio(n, service).First(time.Now())
+}
+
+func (b *budgets) take(n *Node, service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ratio(n, service).Take(time.Now())
+}
+
+// attempts offers a call to backend servers until one has answered or no further
+// one may get it.
+func (n *Node) attempts(ctx context.Context, c *hop.Call, route *catalog.Route) *hop.Answer {
+	n.budgets.first(n, c.Service)
+	var tried []string
+	var last *hop.Answer
+	arrivals, full := 0, 0
+	for len(tried) < maxPlaces {
+		at, ok := n.places.pick(c.Service, tried)
+		if !ok {
+			break
+		}
+		tried = append(tried, at.id)
+		last.Close()
+		last = n.try(ctx, at, c, arrivals > 0)
+		if last.Arrived {
+			arrivals++
+		}
+		if last.Refusal != nil && last.Refusal.Reason == request.ReasonOverload {
+			full++
+		}
+		if !n.again(ctx, c, route, last, arrivals, full) {
+			break
+		}
+	}
+	if last == nil {
+		n.log.Warn("no backend server for a call", "event", "unplaced", "id", c.ID, "route", c.Route, "service", c.Service)
+		return hop.Refused(request.ReasonNoBackend, shortReturn)
+	}
+	if f := last.Refusal; f != nil && f.Outcome == request.NotRun && f.RetryAfter <= 0 {
+		f.RetryAfter = shortReturn
+	}
+	return last
+}
+
+// again decides whether another backend server may get the call.
+func (n *Node) again(ctx context.Context, c *hop.Call, route *catalog.Route, a *hop.Answer, arrivals, full int) bool {
+	outcome := request.Completed
+	if a.Refusal != nil {
+		outcome = a.Refusal.Outcome
+	}
+	switch {
+	case ctx.Err() != nil, !time.Now().Before(c.Deadline), arrivals >= route.MaxAttempts:
+		return false
+	case !c.Body.Repeatable() && (a.Arrived || outcome != request.NotRun):
+		return false
+	case outcome == request.Completed && (a.Status < 500 || !c.Idempotent):
+		return false
+	case outcome == request.Completed && a.Status == http.StatusGatewayTimeout:
+		return false
+	case outcome == request.NotRun && !a.Elsewhere, full >= maxFull:
+		return false
+	case outcome != request.Completed && !retry.MayRetry(outcome, c.Idempotent):
+		return false
+	}
+	return arrivals == 0 || n.budgets.take(n, c.Service)
+}
+
+// try offers the call to one place.
+func (n *Node) try(ctx context.Context, at place, c *hop.Call, again bool) *hop.Answer {
+	n.metrics.Attempt(again)
+	sent := time.Now()
+	attempt := *c
+	attempt.Target = at.target
+	attempt.Aim = max(c.Aim-time.Since(c.Arrived), 0)
+	a, err := n.places.send(ctx, at, &attempt)
+	took := time.Since(sent)
+	if err != nil {
+		return n.lost(ctx, at, c, err, took)
+	}
+	n.places.done(c.Service, at.id, routing.Result{Kind: kindOf(a), Latency: took, Draining: draining(a), Load: report(a.Load)})
+	return a
+}
+
+// lost handles the failure of the exchange with a node.
+func (n *Node) lost(ctx context.Context, at place, c *hop.Call, err *hop.Error, took time.Duration) *hop.Answer {
+	kind := routing.Failed
+	reason := request.ReasonPeerLost
+	if ctx.Err() != nil {
+		kind, reason = routing.Cancelled, request.ReasonDeadline
+	}
+	n.places.done(c.Service, at.id, routing.Result{Kind: kind, Latency: took})
+	n.log.Warn("no answer of a node", "event", "peer_lost", "id", c.ID, "route", c.Route, "peer", at.address,
+		"sent", err.Sent, "took", took, "err", err.Err)
+	if err.Sent {
+		return hop.MayHaveRun(reason)
+	}
+	a := hop.Refused(reason, shortReturn)
+	a.Elsewhere = true
+	return a
+}
+
+func kindOf(a *hop.Answer) routing.Kind {
+	switch {
+	case a.Refusal == nil && a.Status < 500:
+		return routing.Completed
+	case a.Refusal == nil:
+		return routing.Failed
+	case a.Refusal.Reason == request.ReasonDeadline:
+		return routing.Cancelled
+	case a.Refusal.Outcome == request.NotRun && a.Refusal.Reason != request.ReasonNoBackend:
+		return routing.Refused
+	}
+	return routing.Failed
+}
+
+func draining(a *hop.Answer) bool {
+	return a.Refusal != nil && a.Refusal.Reason == request.ReasonDraining
+}
+
+func report(l *pressure.Load) *routing.Report {
+	if l == nil {
+		return nil
+	}
+	return &routing.Report{Limit: l.Limit, QueueWait: l.Wait, ServiceTime: l.ServiceTime}
+}
--- /dev/null
+++ b/internal/sidecar/knowledge.go
@@ -0,0 +1,245 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/catalog"
+	"github.com/teaselseam/teaselseam/internal/clock"
+	"github.com/teaselseam/teaselseam/internal/fleet"
+	"github.com/teaselseam/teaselseam/internal/share"
+	"github.com/teaselseam/teaselseam/platform"
+)
+
+const (
+	// confirmPart of the bound on withdrawn keys is how long the store may hold
+	// back an answer that nothing has changed. Two lost answers fit in the rest.
+	confirmPart = 0.3
+	// fleetWait is the same for the table of members. It proves nothing, so it is
+	// as long as a silent connection may go unnoticed.
+	fleetWait = 10 * time.Second
+	// answerSlack is how long an answer may take beyond the wait asked for. A slow
+	// store takes 60 times its usual 4 ms.
+	answerSlack = time.Second
+	readTimeout = 2 * time.Second
+	// Pause after a failed call, doubled with each failure.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 500 * time.Millisecond
+	// keyMargin is taken off the bound on withdrawn keys.
+	keyMargin = 200 * time.Millisecond
+	// sureAge is the age up to which the node is sure that a route or key does not
+	// exist. Beyond it, a newer configuration may have it.
+	sureAge = 2500 * time.Millisecond
+	// readyAge is the age of its knowledge above which a node asks for callers to
+	// be sent elsewhere.
+	readyAge = 3 * time.Second
+)
+
+// Keys of rows in the table of the fleet.
+const (
+	memberPrefix = "node/"
+	deathPrefix  = "death/"
+)
+
+// knowledge is what the node knows from the store: the operator's configuration,
+// with the time as of which it is known to be the newest, and the fleet.
+type knowledge struct {
+	n   *Node
+	log *slog.Logger
+
+	catalog   atomic.Pointer[catalog.Catalog]
+	confirmed atomic.Int64 // time since boot at which the newest confirming call was sent
+	view      *fleet.View  // owned by runFleet
+	members   atomic.Pointer[[]*fleet.Member]
+	own       atomic.Pointer[ownRow]
+	fleetSeen chan struct{} // closed once the table has been read
+}
+
+// ownRow is the node's own row as the store has it.
+type ownRow struct {
+	member  *fleet.Member
+	version uint64
+}
+
+func newKnowledge(n *Node) *knowledge {
+	k := &knowledge{n: n, log: n.log, view: fleet.NewView(), fleetSeen: make(chan struct{})}
+	k.members.Store(&[]*fleet.Member{})
+	k.confirmed.Store(-int64(time.Hour))
+	return k
+}
+
+// age is how old the knowledge of the configuration may be.
+func (k *knowledge) age() time.Duration {
+	return clock.SinceBoot() - time.Duration(k.confirmed.Load())
+}
+
+// keysHold tells whether no key can have been withdrawn for longer than users
+// allow without the node knowing.
+func (k *knowledge) keysHold() bool { return k.age() < k.n.settings.Bounds.Revoke-keyMargin }
+
+// runConfiguration follows the operator's configuration.
+func (k *knowledge) runConfiguration(ctx context.Context) error {
+	wait := time.Duration(confirmPart * float64(k.n.settings.Bounds.Revoke))
+	return k.follow(ctx, platform.ConfigurationTable, wait, func(rows []platform.Row, _ bool, sent time.Duration) {
+		for _, r := range rows {
+			if r.Key == platform.ConfigurationKey && !r.Deleted {
+				k.takeConfiguration(r.Value)
+			}
+		}
+		k.confirmed.Store(int64(sent))
+	})
+}
+
+func (k *knowledge) takeConfiguration(value []byte) {
+	c, err := platform.ParseConfiguration(value)
+	if err != nil {
+		k.log.Error("configuration cannot be read; the previous one stays in force", "event", "configuration", "err", err)
+		return
+	}
+	next, old := catalog.New(c), k.catalog.Load()
+	if !next.Newer(old) {
+		return
+	}
+	k.catalog.Store(next)
+	k.n.applyLimits()
+	k.log.Info("configuration is in force", "event", "configuration", "version", next.Version,
+		"routes", len(next.Routes()), "workspaces", len(next.Workspaces()))
+}
+
+// runFleet follows the table of members.
+func (k *knowledge) runFleet(ctx context.Context) error {
+	first := true
+	return k.follow(ctx, fleet.Table, fleetWait, func(rows []platform.Row, all bool, _ time.Duration) {
+		members, deaths := splitRows(rows)
+		var bad []error
+		if all {
+			bad = k.view.Replace(members)
+		} else {
+			bad = k.view.Apply(members)
+		}
+		for _, err := range bad {
+			k.log.Warn("row names no member", "event", "fleet", "err", err)
+		}
+		for _, d := range deaths {
+			k.n.crashes.receive(d.Value)
+		}
+		if len(members) > 0 || all {
+			k.publishFleet(first)
+		}
+		if first {
+			first = false
+			close(k.fleetSeen)
+		}
+	})
+}
+
+// splitRows separates the rows of members, whose key becomes the node's name,
+// from records of crashes.
+func splitRows(rows []platform.Row) (members, deaths []platform.Row) {
+	for _, r := range rows {
+		if name, ok := strings.CutPrefix(r.Key, memberPrefix); ok {
+			r.Key = name
+			members = append(members, r)
+		} else if strings.HasPrefix(r.Key, deathPrefix) && !r.Deleted {
+			deaths = append(deaths, r)
+		}
+	}
+	return members, deaths
+}
+
+func (k *knowledge) publishFleet(first bool) {
+	members := k.view.Members()
+	k.members.Store(&members)
+	m, version := k.view.Member(k.n.settings.Node)
+	k.own.Store(&ownRow{member: m, version: version})
+	k.n.places.setMembers(time.Now(), members, first)
+	k.n.applyLimits()
+	k.n.member.changed()
+	k.log.Info("fleet changed", "event", "fleet", "members", len(members))
+}
+
+// follow reads a table and then its changes. take gets the rows, whether they are
+// all rows of the table, and the time since boot at which the call was sent.
+func (k *knowledge) follow(ctx context.Context, table string, wait time.Duration, take func([]platform.Row, bool, time.Duration)) error {
+	var version uint64
+	read := false
+	failures := 0
+	for ctx.Err() == nil {
+		sent := clock.SinceBoot()
+		rows, err := k.next(ctx, table, version, read, wait)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			failures++
+			read = read && !errors.Is(err, platform.ErrHistoryLost)
+			k.failed(table, failures, err)
+			if read || !errors.Is(err, platform.ErrHistoryLost) {
+				pause(ctx, failures)
+			}
+			continue
+		}
+		if failures > 0 {
+			k.log.Info("store answers again", "event", "store", "table", table, "failures", failures)
+			failures = 0
+		}
+		take(rows.Rows, !read, sent)
+		version, read = rows.Version, true
+	}
+	return nil
+}
+
+func (k *knowledge) next(ctx context.Context, table string, version uint64, read bool, wait time.Duration) (platform.Changes, error) {
+	timeout := readTimeout
+	if read {
+		timeout = wait + answerSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if !read {
+		return k.n.store.Read(ctx, table, "")
+	}
+	return k.n.store.Watch(ctx, table, version, wait)
+}
+
+func (k *knowledge) failed(table string, failures int, err error) {
+	k.n.metrics.Counter("teaselseam_store_failures_total").Inc()
+	if failures == 1 {
+		k.log.Warn("store call failed", "event", "store", "table", table, "err", err)
+	}
+	if errors.Is(err, platform.ErrUnknown) {
+		k.n.store.CloseIdle()
+	}
+}
+
+// pause waits before the next try, with jitter so that nodes do not return to the
+// store together.
+func pause(ctx context.Context, failures int) {
+	d := min(minBackoff<<min(failures-1, 8), maxBackoff)
+	d += time.Duration(rand.Float64() * float64(d))
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// applyLimits sets the shares of workspaces after a change of the configuration
+// or of the number of nodes.
+func (n *Node) applyLimits() {
+	c := n.knowledge.catalog.Load()
+	if c == nil {
+		return
+	}
+	limits := make([]share.Limit, 0, len(c.Workspaces()))
+	for _, w := range c.Workspaces() {
+		limits = append(limits, share.Limit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst})
+	}
+	n.tokens.set(limits, len(*n.knowledge.members.Load()))
+}
