--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -65,11 +65,14 @@
 type Answer struct {
 	// Refusal is set if the answer is not that of a backend server.
 	Refusal *request.Refusal
-	// Repeatable refusals came from a place that did not pass the call to its
-	// backend server; another place may take it.
+	// Elsewhere is true if the refusal concerns one place, and another one may
+	// take the call.
 	Elsewhere bool
 	// Arrived is true if a backend server got the call, even if it rejected it.
 	Arrived bool
+	// Downstream is true if the backend server failed after a call of its own had
+	// failed. Another one would repeat all the work behind it.
+	Downstream bool
 
 	Status int
 	Header http.Header
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -21,8 +21,11 @@
 	// AnswerHeader marks a refusal by a node: reason, outcome, ms until the caller
 	// may return, and whether another place may take the call.
 	AnswerHeader = "Teaselseam-Refusal"
-	loadHeader   = request.HeaderLoad
-	hintsHeader  = request.HeaderHints
+	// downstreamHeader marks a failure that a call of the backend server's own has
+	// caused.
+	downstreamHeader = "Teaselseam-Downstream"
+	loadHeader       = request.HeaderLoad
+	hintsHeader      = request.HeaderHints
 )
 
 const callFields = 9
@@ -79,6 +82,9 @@
 	if len(a.Hints) > 0 {
 		h[hintsHeader] = []string{pressure.EncodeHints(a.Hints)}
 	}
+	if a.Downstream {
+		h[downstreamHeader] = []string{"1"}
+	}
 	if a.Refusal != nil {
 		h[AnswerHeader] = []string{fmt.Sprintf("%s %s %d %t %t", a.Refusal.Reason, a.Refusal.Outcome,
 			a.Refusal.RetryAfter.Milliseconds(), a.Elsewhere, a.Arrived)}
@@ -101,7 +107,9 @@
 		}
 		a.Hints = hints
 	}
+	a.Downstream = h.Get(downstreamHeader) != ""
 	v := h.Get(AnswerHeader)
+	delete(h, downstreamHeader)
 	delete(h, loadHeader)
 	delete(h, hintsHeader)
 	delete(h, AnswerHeader)
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -20,9 +20,10 @@
 	maxPlaces = 4
 	// maxFull bounds the nodes that refuse because they are full.
 	maxFull = 2
-	// budgetPart of the retries that users allow is used, because calls made by
-	// repeated runs count as well and nodes count on their own.
-	budgetPart = 0.5
+	// budgetPart of the retries that users allow is used. Calls made by a repeated
+	// run count as repeats too, at each service behind it: at a part of 0.5,
+	// forgedesk, which lies behind two services, got 2288 of 2235 allowed.
+	budgetPart = 0.25
 )
 
 // budgets bounds the retries to each service. It is safe for concurrent use.
@@ -109,7 +110,7 @@
 		return false
 	case outcome == request.Completed && (a.Status < 500 || !c.Idempotent):
 		return false
-	case outcome == request.Completed && a.Status == http.StatusGatewayTimeout:
+	case outcome == request.Completed && (a.Downstream || a.Status == http.StatusGatewayTimeout):
 		return false
 	case outcome == request.NotRun && !a.Elsewhere, full >= maxFull:
 		return false
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -33,6 +33,10 @@
 	line *line
 
 	active atomic.Int64
+	// callFailedAt is when a call of the backend server's own last failed, in
+	// nanoseconds since the start of the node.
+	callFailedAt atomic.Int64
+	began        time.Time
 
 	mu          sync.Mutex
 	server      backend.Server
@@ -40,7 +44,7 @@
 }
 
 func newGuard(n *Node) *guard {
-	return &guard{n: n, log: n.log, pool: hop.NewPool(backendDial, backendIdle), line: newLine()}
+	return &guard{n: n, log: n.log, pool: hop.NewPool(backendDial, backendIdle), line: newLine(), began: time.Now()}
 }
 
 // announcement returns what is believed of the backend server.
@@ -129,12 +133,19 @@
 		leave(dispatch.Broken)
 		return a
 	}
+	started := time.Since(g.began)
 	a, result := g.send(ctx, addr, c)
 	leave(result)
+	a.Downstream = a.Refusal == nil && a.Status >= 500 && g.callFailedAt.Load() > int64(started)
 	finish(a.Refusal == nil)
 	return a
 }
 
+// noteCallFailed takes the failure of a call that the backend server made. Calls
+// carry no mark of the request that they belong to, so all that run now may fail
+// for it.
+func (g *guard) noteCallFailed() { g.callFailedAt.Store(int64(time.Since(g.began))) }
+
 // address returns where the call's backend server is, or the refusal if that is
 // not the one beside the node or takes no work.
 func (g *guard) address(c *hop.Call) (string, *hop.Answer) {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -74,6 +74,9 @@
 		return hop.Refused(request.ReasonOverShare, overShareReturn)
 	}
 	a := n.attempts(ctx, c, route)
+	if c.Workspace == "" && (a.Refusal != nil || a.Status >= 500) {
+		n.guard.noteCallFailed()
+	}
 	if c.Workspace != "" && a.Refusal != nil && a.Refusal.Outcome == request.NotRun && !a.Arrived {
 		n.tokens.refund(c.Workspace)
 	}
--- a/internal/sidecar/places.go
+++ b/internal/sidecar/places.go
@@ -41,7 +41,7 @@
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	pickers map[string]*routing.Picker
-	targets map[string]string // ID of the backend server by endpoint
+	targets map[string]string    // ID of the backend server by endpoint
 	since   map[string]time.Time // when a backend server was first seen
 	first   bool
 }
