--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -83,8 +83,7 @@
 	t.Helper()
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	defer cancel()
-	a, _, err := p.ToBackend(ctx, addr, c, false)
-	return a, err
+	return p.ToBackend(ctx, addr, c, false)
 }
 
 func newTestPool() *Pool { return NewPool(time.Second, time.Minute) }
@@ -331,7 +330,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	if _, _, err := newTestPool().ToBackend(ctx, s.addr, newCall("r1", ""), false); err == nil || !err.Sent {
+	if _, err := newTestPool().ToBackend(ctx, s.addr, newCall("r1", ""), false); err == nil || !err.Sent {
 		t.Fatalf("got %v", err)
 	}
 	select {
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -34,7 +34,7 @@
 // ToBackend sends a call to a backend server. A refusal that the backend server
 // states itself becomes one of the answer; any other answer must be whole, signed
 // if it is a success, and to this call.
-func (p *Pool) ToBackend(ctx context.Context, addr string, c *Call, fresh bool) (*Answer, *platform.ResponseHeader, *Error) {
+func (p *Pool) ToBackend(ctx context.Context, addr string, c *Call, fresh bool) (*Answer, *Error) {
 	h := make(http.Header, len(c.Header)+4)
 	for k, v := range c.Header {
 		h[k] = v
@@ -44,7 +44,7 @@
 	})
 	a, err := p.do(ctx, exchange{addr: addr, call: c, header: h, checkID: true, fresh: fresh})
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	rh := platform.ReadResponseHeader(a.Status, a.Header)
 	if rh.NotRun {
@@ -55,14 +55,14 @@
 		}
 		refused := Refused(reason, 0)
 		refused.Arrived, refused.Elsewhere = true, true
-		return refused, &rh, nil
+		return refused, nil
 	}
 	if e := checkAnswer(c, a, &rh); e != nil {
 		a.Close()
-		return nil, &rh, &Error{Sent: true, Err: e}
+		return nil, &Error{Sent: true, Err: e}
 	}
 	a.Arrived = true
-	return a, &rh, nil
+	return a, nil
 }
 
 // checkAnswer rejects what is not the backend server's own whole answer.
--- /dev/null
+++ b/internal/sidecar/cluster_test.go
@@ -0,0 +1,308 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/standin"
+	"github.com/teaselseam/teaselseam/platform"
+)
+
+// cluster is a store, nodes and a backend server beside each of them.
+type cluster struct {
+	t        *testing.T
+	store    *standin.Store
+	address  string // of the store
+	nodes    []*testNode
+	version  int
+	routes   []route
+	keys     map[string]string // workspace by key
+	rates    map[string]float64
+	settings func(*platform.Settings)
+}
+
+type route struct {
+	name, prefix, service, kind string
+	timeoutMs                   int
+	open                        bool
+	rank                        int
+}
+
+type testNode struct {
+	settings *platform.Settings
+	node     *Node
+	backend  *standin.Backend
+	stop     context.CancelFunc
+	stopped  chan error
+	kill     context.CancelFunc // of the backend server
+	log      *logBuffer
+}
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// addresses counts the loopback addresses in use.
+var addresses atomic.Int64
+
+// freeAddress returns an address of its own, so that no outgoing connection can
+// take its port before it is used.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	n := addresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 20+os.Getpid()%200, n/250, n%250+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newCluster starts one node and backend server for each service given. All are
+// ready when it returns.
+func newCluster(t *testing.T, services ...string) *cluster {
+	t.Helper()
+	c := prepareCluster(t, services...)
+	c.start()
+	return c
+}
+
+func prepareCluster(t *testing.T, services ...string) *cluster {
+	t.Helper()
+	s := standin.NewStore()
+	server := httptest.NewServer(s)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	c := &cluster{
+		t: t, store: s, address: strings.TrimPrefix(server.URL, "http://"),
+		keys: map[string]string{"key-guild": "guild"}, rates: map[string]float64{},
+		settings: func(*platform.Settings) {},
+	}
+	for _, service := range services {
+		c.routes = append(c.routes,
+			route{name: "view-" + service, prefix: "/" + service + "/view/", service: service, kind: "safe"},
+			route{name: "order-" + service, prefix: "/" + service + "/order/", service: service, kind: "non_idempotent"},
+			route{name: "open-" + service, prefix: "/" + service + "/open/", service: service, kind: "safe", open: true})
+	}
+	for i, service := range services {
+		c.nodes = append(c.nodes, &testNode{settings: c.newSettings(i, service)})
+	}
+	return c
+}
+
+func (c *cluster) newSettings(i int, service string) *platform.Settings {
+	return &platform.Settings{
+		Node: fmt.Sprint("node-", i), IP: "127.0.0.1", DataCentre: fmt.Sprint("dc-", i%2),
+		CallerAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t), ReadyAddress: freeAddress(c.t),
+		AnnounceAddress: freeAddress(c.t), BackendAddress: freeAddress(c.t), Service: service,
+		StoreAddress: c.address, AnnounceInterval: 100 * time.Millisecond,
+		Bounds: platform.Bounds{
+			Revoke: 5 * time.Second, StopGrace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 50,
+		},
+	}
+}
+
+func (c *cluster) start() {
+	c.t.Helper()
+	c.configure()
+	for _, n := range c.nodes {
+		c.startNode(n)
+		c.startBackend(n, "")
+	}
+	c.waitReady()
+}
+
+func (c *cluster) waitReady() {
+	c.t.Helper()
+	c.eventually("all backend servers are known everywhere", func() bool {
+		for _, n := range c.nodes {
+			usable := 0
+			for _, m := range *n.node.knowledge.members.Load() {
+				if m.Usable() {
+					usable++
+				}
+			}
+			if usable < len(c.nodes) || !c.ready(n) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) startNode(n *testNode) {
+	c.t.Helper()
+	c.settings(n.settings)
+	n.log = &logBuffer{}
+	log := slog.New(slog.NewTextHandler(n.log, nil))
+	node, err := New(log, n.settings)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.node, n.stop, n.stopped = node, cancel, make(chan error, 1)
+	stopped := n.stopped
+	go func() { stopped <- node.Run(ctx) }()
+	c.t.Cleanup(func() {
+		cancel()
+		node.kill()
+		if c.t.Failed() {
+			c.t.Logf("log of %s:\n%s", n.settings.Node, n.log)
+		}
+	})
+}
+
+// kill ends a node as SIGKILL does, as far as a test in one process can.
+func (n *Node) kill() {
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
+}
+
+func (c *cluster) startBackend(n *testNode, id string) {
+	if id == "" {
+		id = "i-" + n.settings.Node
+	}
+	b := standin.NewBackend(standin.BackendConfig{
+		ID: id, Service: n.settings.Service, Address: n.settings.BackendAddress, Announce: n.settings.AnnounceAddress,
+		Slots: 4, Work: 5 * time.Millisecond,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.backend, n.kill = b, cancel
+	go b.Serve(ctx)
+	c.t.Cleanup(cancel)
+}
+
+// configure writes the next version of the operator's configuration.
+func (c *cluster) configure() {
+	c.t.Helper()
+	c.version += 3
+	type table struct {
+		Columns []string `json:"columns"`
+		Rows    [][]any  `json:"rows"`
+	}
+	routes := table{Columns: []string{"name", "host", "prefix", "kind", "service", "timeoutMs", "targetLatencyMs", "priority", "maxAttempts", "noAuth"}}
+	services := table{Columns: []string{"name", "healthPath", "maxConns"}}
+	seen := map[string]bool{}
+	for _, r := range c.routes {
+		timeout := any(nil)
+		if r.timeoutMs > 0 {
+			timeout = r.timeoutMs
+		}
+		routes.Rows = append(routes.Rows, []any{r.name, "shop.example", r.prefix, r.kind, r.service, timeout, 500, r.rank, 2, r.open})
+		if !seen[r.service] {
+			seen[r.service] = true
+			services.Rows = append(services.Rows, []any{r.service, "/healthz", 100})
+		}
+	}
+	tenants := table{Columns: []string{"name", "apiKeys", "ratePerS", "burst"}}
+	byName := map[string][]string{}
+	for key, name := range c.keys {
+		byName[name] = append(byName[name], key)
+	}
+	for name, keys := range byName {
+		tenants.Rows = append(tenants.Rows, []any{name, keys, c.rates[name], c.rates[name]})
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": fmt.Sprint("r", c.version), "routes": routes, "services": services, "tenants": tenants,
+		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.store.Put("op", "config", value)
+}
+
+func (c *cluster) ready(n *testNode) bool {
+	resp, err := http.Get("http://" + n.settings.ReadyAddress + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (c *cluster) eventually(what string, ok func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.t.Fatalf("not within 10 s: %s", what)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var ids struct {
+	sync.Mutex
+	next int
+}
+
+func newID() string {
+	ids.Lock()
+	defer ids.Unlock()
+	ids.next++
+	return fmt.Sprintf("r%06d", ids.next)
+}
+
+// get sends a request to a node as a caller on its VM.
+func (c *cluster) get(n *testNode, path, key string) reply {
+	return c.send(n, http.MethodGet, path, key, "", newID(), 2*time.Second)
+}
+
+func (c *cluster) send(n *testNode, method, path, key, body, id string, deadline time.Duration) reply {
+	req, err := http.NewRequest(method, "http://"+n.settings.CallerAddress+path, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	req.Host = "shop.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+func (r reply) served() bool { return r.err == nil && r.status == http.StatusOK }
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -175,7 +175,8 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(answerGrace))
-	a, h, err := g.pool.ToBackend(ctx, addr, c, false)
+	a, err := g.pool.ToBackend(ctx, addr, c, false)
+	ended := ctx.Err() != nil
 	if a != nil && a.Rest != nil {
 		a.Rest = &cancelling{a.Rest, cancel}
 	} else {
@@ -183,24 +184,24 @@
 	}
 	switch {
 	case err != nil:
-		return g.failed(ctx, addr, c, err), dispatch.Broken
+		return g.failed(ended, addr, c, err), dispatch.Broken
 	case a.Refusal != nil:
-		_ = h // the load that comes with a refusal is the backend server's own view
 		return a, dispatch.Shed
 	}
 	return a, dispatch.Served
 }
 
-// failed turns the failure of an exchange into an answer.
-func (g *guard) failed(ctx context.Context, addr string, c *hop.Call, err *hop.Error) *hop.Answer {
+// failed turns the failure of an exchange into an answer. ended tells whether the
+// deadline has passed or the caller has left.
+func (g *guard) failed(ended bool, addr string, c *hop.Call, err *hop.Error) *hop.Answer {
 	reason := request.ReasonBackendLost
-	if ctx.Err() != nil {
+	if ended {
 		reason = request.ReasonDeadline
 	}
 	g.log.Warn("no answer of the backend server", "event", "backend_lost", "id", c.ID, "route", c.Route,
 		"peer", addr, "sent", err.Sent, "reason", string(reason), "err", err.Err)
 	if err.Sent {
-		if ctx.Err() == nil {
+		if !ended {
 			g.checkDeath(addr)
 		}
 		return hop.MayHaveRun(reason)
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,430 @@
+package sidecar
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/standin"
+)
+
+// TestWholePath guards against a break anywhere on the way of a request: through
+// the caller's node, the node beside the backend server, and back.
+func TestWholePath(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	for i, from := range c.nodes {
+		for _, to := range c.nodes {
+			id := newID()
+			r := c.send(from, http.MethodPost, "/"+to.settings.Service+"/order/x?y=1", "key-guild", "three strips", id, 2*time.Second)
+			if !r.served() || r.body != "answer of i-"+to.settings.Node+" to "+id || r.header.Get("Response-Signature") == "" {
+				t.Fatalf("from node %d: %+v", i, r)
+			}
+			runs := to.backend.Runs()
+			got := runs[len(runs)-1]
+			want := standin.Run{
+				ID: id, Method: http.MethodPost, URI: "/" + to.settings.Service + "/order/x?y=1", Body: "three strips",
+				Host: "shop.example", Workspace: "guild", Caller: from.settings.Service, Target: "i-" + to.settings.Node,
+				Deadline: got.Deadline, Done: true,
+			}
+			if got != want {
+				t.Errorf("ran as %+v, want %+v", got, want)
+			}
+			if got.Deadline <= 0 || got.Deadline > 2*time.Second {
+				t.Errorf("the backend server was given %v of 2 s", got.Deadline)
+			}
+		}
+	}
+}
+
+// TestRefusedByConfiguration guards against a request that no configuration allows.
+func TestRefusedByConfiguration(t *testing.T) {
+	c := newCluster(t, "stock")
+	for _, x := range []struct {
+		path, key string
+		status    int
+	}{
+		{"/nowhere/", "key-guild", http.StatusNotFound},
+		{"/stock/view/1", "", http.StatusUnauthorized},
+		{"/stock/view/1", "wrong", http.StatusUnauthorized},
+		{"/stock/open/1", "", http.StatusOK},
+		{"/stock/view/1", "key-guild", http.StatusOK},
+	} {
+		if r := c.get(c.nodes[0], x.path, x.key); r.status != x.status {
+			t.Errorf("%s with key %q: %d, want %d", x.path, x.key, r.status, x.status)
+		}
+	}
+}
+
+// TestConfigurationChanges guards against an older configuration that stays in
+// force: a withdrawn key, a removed and an added route.
+func TestConfigurationChanges(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	delete(c.keys, "key-guild")
+	c.keys["key-new"] = "guild"
+	c.routes = append(c.routes[1:], route{name: "late", prefix: "/late/", service: "mill", kind: "safe"})
+	c.configure()
+	time.Sleep(300 * time.Millisecond)
+	for _, n := range c.nodes {
+		for _, x := range []struct {
+			path, key string
+			status    int
+		}{
+			{"/mill/view/1", "key-guild", http.StatusUnauthorized},
+			{"/mill/view/1", "key-new", http.StatusOK},
+			{"/late/1", "key-new", http.StatusOK},
+			{"/stock/view/1", "key-new", http.StatusNotFound},
+		} {
+			if r := c.get(n, x.path, x.key); r.status != x.status {
+				t.Errorf("%s with %s: %d, want %d", x.path, x.key, r.status, x.status)
+			}
+		}
+	}
+}
+
+// TestHistoryForgotten guards against missing a change that was made while the
+// store dropped its history.
+func TestHistoryForgotten(t *testing.T) {
+	c := newCluster(t, "stock")
+	delete(c.keys, "key-guild")
+	c.configure()
+	c.store.ForgetHistory()
+	c.eventually("the withdrawn key is refused", func() bool {
+		return c.get(c.nodes[0], "/stock/view/1", "key-guild").status == http.StatusUnauthorized
+	})
+}
+
+// TestKeysEndWithoutTheStore guards against a withdrawn key that goes on working
+// at a node that has lost the store: keyed requests are refused as not run after
+// the bound, requests without a key go on, and the node says that it is not ready.
+func TestKeysEndWithoutTheStore(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	c.store.SetFaults(standin.Faults{Down: true})
+	began := time.Now()
+	for time.Since(began) < 3*time.Second {
+		if r := c.get(c.nodes[0], "/mill/view/1", "key-guild"); time.Since(began) < 2500*time.Millisecond && !r.served() {
+			t.Fatalf("refused %v after the loss: %+v", time.Since(began), r)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Until(began.Add(5100 * time.Millisecond)))
+	r := c.get(c.nodes[0], "/mill/view/1", "key-guild")
+	if r.status != http.StatusServiceUnavailable || r.header.Get("Retry-After") == "" {
+		t.Errorf("with a key: %+v", r)
+	}
+	if r := c.get(c.nodes[0], "/mill/open/1", ""); !r.served() {
+		t.Errorf("without a key: %+v", r)
+	}
+	if c.ready(c.nodes[0]) {
+		t.Error("the node says that it is ready")
+	}
+	c.store.SetFaults(standin.Faults{})
+	c.eventually("keyed requests are served again", func() bool {
+		return c.get(c.nodes[0], "/mill/view/1", "key-guild").served()
+	})
+}
+
+// TestUnsureWithoutTheStore guards against a final 404 or 401 by a node that may
+// have missed the route or key.
+func TestUnsureWithoutTheStore(t *testing.T) {
+	c := newCluster(t, "stock")
+	c.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(sureAge + 200*time.Millisecond)
+	for _, x := range [][2]string{{"/nowhere/", "key-guild"}, {"/stock/view/1", "unknown"}} {
+		if r := c.get(c.nodes[0], x[0], x[1]); r.status != http.StatusServiceUnavailable {
+			t.Errorf("%v: %+v", x, r)
+		}
+	}
+}
+
+// TestStartWithoutTheStore guards against a node that denies requests, or ends,
+// because it knows no configuration yet.
+func TestStartWithoutTheStore(t *testing.T) {
+	c := prepareCluster(t, "stock")
+	c.store.SetFaults(standin.Faults{Down: true})
+	c.configure()
+	n := c.nodes[0]
+	c.startNode(n)
+	c.startBackend(n, "")
+	c.eventually("the node answers", func() bool {
+		return c.get(n, "/stock/view/1", "key-guild").status == http.StatusServiceUnavailable
+	})
+	if c.ready(n) {
+		t.Error("ready without a configuration")
+	}
+	c.store.SetFaults(standin.Faults{})
+	c.eventually("the node serves", func() bool { return c.get(n, "/stock/view/1", "key-guild").served() })
+}
+
+// TestDrain guards against work for a backend server that leaves, with and without
+// a notice before the end, and against requests lost by its leaving.
+func TestDrain(t *testing.T) {
+	for _, notice := range []bool{true, false} {
+		c := newCluster(t, "stock", "stock")
+		leaver := c.nodes[0]
+		if notice {
+			leaver.backend.Drain(t.Context())
+			if !leaver.backend.Acknowledged("draining") {
+				t.Fatal("draining was not acknowledged")
+			}
+		} else {
+			leaver.backend.Leave(t.Context())
+		}
+		before := len(leaver.backend.Runs())
+		for range 20 {
+			for _, n := range c.nodes {
+				if r := c.get(n, "/stock/view/1", "key-guild"); !r.served() {
+					t.Fatalf("notice %v: %+v", notice, r)
+				}
+			}
+		}
+		if after := len(leaver.backend.Runs()); after != before {
+			t.Errorf("notice %v: %d requests ran after the acknowledgement", notice, after-before)
+		}
+	}
+}
+
+// TestDrainSurvivesRestart guards against a restarted node that gives work to a
+// backend server whose leaving its earlier process had acknowledged.
+func TestDrainSurvivesRestart(t *testing.T) {
+	c := newCluster(t, "stock", "stock")
+	leaver := c.nodes[0]
+	leaver.backend.Drain(t.Context())
+	leaver.node.kill()
+	leaver.stop()
+	<-leaver.stopped
+	c.startNode(leaver)
+	before := len(leaver.backend.Runs())
+	c.eventually("the restarted node is ready", func() bool { return c.ready(leaver) })
+	for range 20 {
+		if r := c.get(leaver, "/stock/view/1", "key-guild"); !r.served() {
+			t.Fatalf("%+v", r)
+		}
+	}
+	if after := len(leaver.backend.Runs()); after != before {
+		t.Errorf("%d requests ran after the acknowledgement", after-before)
+	}
+}
+
+// TestNotRunElsewhere guards against failing a request that a full backend server
+// has refused as not run: another one serves it, also if it may not be repeated.
+func TestNotRunElsewhere(t *testing.T) {
+	c := newCluster(t, "stock", "stock")
+	shedding := c.nodes[0].backend
+	shedding.Behave(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	})
+	for range 10 {
+		r := c.send(c.nodes[0], http.MethodPost, "/stock/order/1", "key-guild", "x", newID(), 2*time.Second)
+		if !r.served() {
+			t.Fatalf("%+v", r)
+		}
+	}
+}
+
+// TestLostAnswer guards against running a request twice that may not be repeated,
+// against calling it not run, and against failing one that may be repeated.
+func TestLostAnswer(t *testing.T) {
+	c := newCluster(t, "stock", "stock")
+	var mu sync.Mutex
+	lost := map[string]int{}
+	for _, n := range c.nodes {
+		n.backend.Behave(func(_ http.ResponseWriter, r *http.Request) bool {
+			mu.Lock()
+			lost[r.Header.Get("Request-Id")]++
+			first := lost[r.Header.Get("Request-Id")] == 1
+			mu.Unlock()
+			if first {
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+	}
+	id := newID()
+	r := c.send(c.nodes[0], http.MethodPost, "/stock/order/1", "key-guild", "x", id, 2*time.Second)
+	if r.status != http.StatusBadGateway || r.header.Get("Retry-After") != "" {
+		t.Errorf("an order: %+v", r)
+	}
+	mu.Lock()
+	if lost[id] != 1 {
+		t.Errorf("the order ran %d times", lost[id])
+	}
+	mu.Unlock()
+	if r := c.get(c.nodes[0], "/stock/view/1", "key-guild"); !r.served() {
+		t.Errorf("a view: %+v", r)
+	}
+}
+
+// TestRouteTimeout guards against keeping a caller past the operator's timeout, and
+// against calling a request not run that a backend server is still working on.
+func TestRouteTimeout(t *testing.T) {
+	c := prepareCluster(t, "stock")
+	c.routes = append(c.routes, route{name: "short", prefix: "/short/", service: "stock", kind: "safe", timeoutMs: 300})
+	c.start()
+	c.nodes[0].backend.Behave(func(_ http.ResponseWriter, r *http.Request) bool {
+		time.Sleep(time.Second)
+		return false
+	})
+	began := time.Now()
+	r := c.get(c.nodes[0], "/short/1", "key-guild")
+	if took := time.Since(began); r.status != http.StatusGatewayTimeout || took > 450*time.Millisecond || took < 200*time.Millisecond {
+		t.Errorf("%+v after %v", r, took)
+	}
+}
+
+// TestCallerLeaves guards against a backend server that works on for a caller that
+// has left, and against breaking off a request that may not be repeated.
+func TestCallerLeaves(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	to := c.nodes[1]
+	cancelled := make(chan string, 2)
+	to.backend.Behave(func(_ http.ResponseWriter, r *http.Request) bool {
+		select {
+		case <-r.Context().Done():
+			cancelled <- r.URL.Path
+		case <-time.After(700 * time.Millisecond):
+		}
+		return false
+	})
+	client := http.Client{Timeout: 150 * time.Millisecond}
+	for _, path := range []string{"/mill/view/1", "/mill/order/1"} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+c.nodes[0].settings.CallerAddress+path, strings.NewReader(""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "shop.example"
+		req.Header.Set("Request-Id", newID())
+		req.Header.Set("Deadline-Ms", "2000")
+		req.Header.Set("Authorization", "Bearer key-guild")
+		if resp, err := client.Do(req); err == nil {
+			t.Fatalf("%s was answered %d", path, resp.StatusCode)
+		}
+	}
+	time.Sleep(time.Second)
+	close(cancelled)
+	var got []string
+	for path := range cancelled {
+		got = append(got, path)
+	}
+	if len(got) != 1 || got[0] != "/mill/view/1" {
+		t.Errorf("cancelled at the backend server: %v", got)
+	}
+}
+
+// TestPlannedStop guards against requests lost by the stop of a node, at the node
+// itself and at others that send to it.
+func TestPlannedStop(t *testing.T) {
+	c := newCluster(t, "stock", "stock", "mill")
+	stopping := c.nodes[0]
+	done := make(chan struct{})
+	var mu sync.Mutex
+	var bad []reply
+	var wg sync.WaitGroup
+	for _, n := range c.nodes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if n == stopping && !c.ready(n) {
+					return // the platform sends callers elsewhere
+				}
+				if r := c.get(n, "/stock/view/1", "key-guild"); !r.served() {
+					mu.Lock()
+					bad = append(bad, r)
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	stopping.stop()
+	if err := <-stopping.stopped; err != nil {
+		t.Errorf("stopped with %v", err)
+	}
+	took := time.Since(began)
+	time.Sleep(200 * time.Millisecond)
+	close(done)
+	wg.Wait()
+	if len(bad) > 0 {
+		t.Errorf("%d requests failed, the first with %+v", len(bad), bad[0])
+	}
+	if took > stopping.settings.Bounds.StopGrace {
+		t.Errorf("the stop took %v", took)
+	}
+}
+
+// TestCrashingRequest guards against a request that crashes one backend server
+// after the other: after two deaths no node runs it any more.
+func TestCrashingRequest(t *testing.T) {
+	c := newCluster(t, "stock", "stock", "stock", "stock", "mill")
+	var mu sync.Mutex
+	crashed := 0
+	for _, n := range c.nodes[:4] {
+		n.backend.Behave(func(_ http.ResponseWriter, r *http.Request) bool {
+			if strings.Contains(r.URL.Path, "poison") {
+				mu.Lock()
+				crashed++
+				mu.Unlock()
+				n.backend.Crash()
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+	}
+	for range 3 {
+		c.get(c.nodes[4], "/stock/view/poison", "key-guild")
+		time.Sleep(300 * time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if crashed > 2 {
+		t.Errorf("%d backend servers crashed, want 2", crashed)
+	}
+	if r := c.get(c.nodes[4], "/stock/view/1", "key-guild"); !r.served() {
+		t.Errorf("another request: %+v", r)
+	}
+}
+
+// TestOwnRowIsWrittenOnce guards against a write to the store at each announcement.
+func TestOwnRowIsWrittenOnce(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	before := c.store.Calls()["/v1/rows-tx"]
+	time.Sleep(time.Second) // ten announcements of each backend server
+	if got := c.store.Calls()["/v1/rows-tx"] - before; got > 0 {
+		t.Errorf("%d writes without a change", got)
+	}
+}
+
+// TestShareOverNodes guards against a workspace that gets more than its rate by
+// sending through several nodes.
+func TestShareOverNodes(t *testing.T) {
+	c := prepareCluster(t, "stock", "mill")
+	c.rates["guild"] = 20
+	c.start()
+	time.Sleep(500 * time.Millisecond)
+	served, refused := 0, 0
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		for _, n := range c.nodes {
+			switch r := c.get(n, "/stock/view/1", "key-guild"); {
+			case r.served():
+				served++
+			case r.status == http.StatusTooManyRequests && r.header.Get("Retry-After") != "":
+				refused++
+			default:
+				t.Fatalf("%+v", r)
+			}
+		}
+	}
+	if allowed := 2*20 + 20 + 10 + 20; served > allowed || refused == 0 {
+		t.Errorf("%d served of %d allowed, %d refused", served, allowed, refused)
+	}
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,284 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Faults of the store. The zero value has none.
+type Faults struct {
+	Down   bool          // every call gets 503
+	Silent bool          // no call gets an answer
+	Delay  time.Duration // of each answer
+	// LoseWrites performs writes and closes the connection without an answer.
+	LoseWrites bool
+	// LateBy performs writes only after this time, and closes the connection at
+	// once.
+	LateBy time.Duration
+	// Refuse tells which callers, by remote address, get 503.
+	Refuse func(remote string) bool
+}
+
+// Store is a stand-in of the platform's store: rows with versions, atomic
+// transactions and a feed of changes with a bounded history. It is safe for
+// concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	version uint64
+	rows    map[rowKey]storedRow
+	history []change
+	// oldest is the version before which changes are forgotten.
+	oldest  uint64
+	changed chan struct{} // closed at the next change
+	faults  Faults
+	calls   map[string]int
+	began   time.Time
+}
+
+type rowKey struct{ Table, Part, Key string }
+
+type storedRow struct {
+	Value   []byte
+	Version uint64
+}
+
+type change struct {
+	rowKey
+	value   []byte
+	version uint64
+	deleted bool
+}
+
+type wireRow struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Ver     uint64 `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type wireTx struct {
+	Expected []wireRow `json:"expected"`
+	Puts     []wireRow `json:"puts"`
+	Remove   []wireRow `json:"remove"`
+}
+
+const (
+	maxRowsAnswer = 500
+	maxFeedWait   = 30 * time.Second
+)
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), calls: map[string]int{}, began: time.Now()}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// ForgetHistory drops the changes up to now, as the store may at any time.
+func (s *Store) ForgetHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.version
+}
+
+// Put writes a row as the platform itself does, whatever the faults.
+func (s *Store) Put(table, key string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.apply(wireTx{Puts: []wireRow{{Table: table, Key: key, Value: value}}})
+}
+
+// Row returns the value of a row, nil if it is absent.
+func (s *Store) Row(table, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowKey{Table: table, Key: key}].Value
+}
+
+// Calls returns the number of calls by path.
+func (s *Store) Calls() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.calls))
+	for k, v := range s.calls {
+		out[k] = v
+	}
+	return out
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls[r.URL.Path]++
+	f := s.faults
+	s.mu.Unlock()
+	if !allow(w, r, f) {
+		return
+	}
+	switch {
+	case r.Method == http.MethodPost && r.URL.Path == "/v1/rows-tx":
+		s.serveTx(w, r, f)
+	case r.Method == http.MethodGet && r.URL.Path == "/v1/rows-get":
+		s.serveGet(w, r)
+	case r.Method == http.MethodGet && r.URL.Path == "/v1/rows-feed":
+		s.serveFeed(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// allow applies the faults that do not depend on the call.
+func allow(w http.ResponseWriter, r *http.Request, f Faults) bool {
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+		return false
+	case f.Down || f.Refuse != nil && f.Refuse(r.RemoteAddr):
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	}
+	select {
+	case <-time.After(f.Delay):
+	case <-r.Context().Done():
+		return false
+	}
+	return true
+}
+
+func (s *Store) serveTx(w http.ResponseWriter, r *http.Request, f Faults) {
+	var tx wireTx
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, row := range append(tx.Puts, tx.Remove...) {
+		if row.Table == "op" || row.Table == "servers" {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	if f.LateBy > 0 {
+		time.AfterFunc(f.LateBy, func() { s.commit(tx) })
+		panic(http.ErrAbortHandler)
+	}
+	version, current, ok := s.commit(tx)
+	if f.LoseWrites {
+		panic(http.ErrAbortHandler)
+	}
+	if !ok {
+		w.WriteHeader(http.StatusPreconditionFailed)
+	}
+	s.answer(w, map[string]any{"rows": current, "ver": version})
+}
+
+func (s *Store) commit(tx wireTx) (version uint64, current []wireRow, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ok = true
+	current = []wireRow{}
+	for _, e := range tx.Expected {
+		k := rowKey{e.Table, e.Part, e.Key}
+		have := s.rows[k]
+		ok = ok && have.Version == e.Ver
+		current = append(current, wireRow{Table: k.Table, Part: k.Part, Key: k.Key, Value: have.Value, Ver: have.Version, Deleted: have.Version == 0})
+	}
+	if !ok {
+		return s.version, current, false
+	}
+	return s.apply(tx), nil, true
+}
+
+// apply performs a transaction. The caller holds the lock.
+func (s *Store) apply(tx wireTx) uint64 {
+	s.version++
+	for _, p := range tx.Puts {
+		k := rowKey{p.Table, p.Part, p.Key}
+		s.rows[k] = storedRow{Value: p.Value, Version: s.version}
+		s.history = append(s.history, change{rowKey: k, value: p.Value, version: s.version})
+	}
+	for _, p := range tx.Remove {
+		k := rowKey{p.Table, p.Part, p.Key}
+		delete(s.rows, k)
+		s.history = append(s.history, change{rowKey: k, version: s.version, deleted: true})
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version
+}
+
+func (s *Store) serveGet(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	rows := []wireRow{}
+	for k, v := range s.rows {
+		if k.Table == q.Get("table") && k.Part == q.Get("part") && k.Key >= q.Get("from") && (q.Get("target") == "" || k.Key < q.Get("target")) {
+			rows = append(rows, wireRow{Table: k.Table, Part: k.Part, Key: k.Key, Value: v.Value, Ver: v.Version})
+		}
+	}
+	version := s.version
+	s.mu.Unlock()
+	slices.SortFunc(rows, func(a, b wireRow) int { return cmp.Compare(a.Key, b.Key) })
+	more := len(rows) > maxRowsAnswer
+	if more {
+		rows = rows[:maxRowsAnswer]
+	}
+	s.answer(w, map[string]any{"rows": rows, "hasMore": more, "ver": version})
+}
+
+func (s *Store) serveFeed(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, err2 := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	if err != nil || err2 != nil || wait < 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, maxFeedWait))
+	defer cancel()
+	for {
+		rows, version, lost, changed := s.since(q.Get("table"), after)
+		if lost {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(rows) > 0 || ctx.Err() != nil {
+			s.answer(w, map[string]any{"rows": rows, "ver": version})
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *Store) since(table string, after uint64) (rows []wireRow, version uint64, lost bool, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows = []wireRow{}
+	for _, c := range s.history {
+		if c.Table == table && c.version > after {
+			rows = append(rows, wireRow{Table: c.Table, Part: c.Part, Key: c.Key, Value: c.value, Ver: c.version, Deleted: c.deleted})
+		}
+	}
+	return rows, s.version, after < s.oldest, s.changed
+}
+
+func (s *Store) answer(w http.ResponseWriter, v map[string]any) {
+	v["nowMs"] = time.Since(s.began).Milliseconds()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the caller may have left
+}
