Take no callers' requests late after SIGTERM

Cause: callers go on sending to a stopping node while most nodes of their data centre are out, and the node took requests until its end. Ruled out: the ready answer, which was 503 all the while. One process was killed at the end of its grace time; it now ends 0.6 s before it.

Test: TestStopWhileBusy.

--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -306,3 +306,15 @@
 }
 
 func (r reply) served() bool { return r.err == nil && r.status == http.StatusOK }
+
+// ran tells whether a backend server has run a request.
+func (c *cluster) ran(id string) bool {
+	for _, n := range c.nodes {
+		for _, r := range n.backend.Runs() {
+			if r.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -73,6 +73,9 @@
 	if c.Workspace == "" {
 		return n.answerCall(ctx, c, route)
 	}
+	if !n.takes() {
+		return hop.Refused(request.ReasonDraining, shortReturn)
+	}
 	if refusal, ok := n.behind.admit(c, ws.Rate); !ok {
 		return &hop.Answer{Refusal: &refusal}
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -72,9 +72,11 @@
 	budgets   budgets
 	behind    *behind
 
-	stopping atomic.Bool
-	active   atomic.Int64 // requests of callers being served
-	servers  []*server
+	began     time.Time
+	stopping  atomic.Bool
+	takeUntil atomic.Int64 // time since began until which a stopping node takes requests
+	active    atomic.Int64 // requests of callers being served
+	servers   []*server
 }
 
 type server struct {
@@ -86,7 +88,7 @@
 // New opens the listeners of a node.
 func New(log *slog.Logger, s *platform.Settings) (*Node, error) {
 	n := &Node{
-		log: log, settings: s,
+		log: log, settings: s, began: time.Now(),
 		incarnation: uuid.Must(uuid.NewV7()).String(),
 		store:       platform.NewStore(s.StoreAddress, hop.Dialer(storeDial)),
 		metrics:     obs.NewMetrics(),
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -1,13 +1,16 @@
 package sidecar
 
 import (
+	"errors"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/standin"
+	"github.com/teaselseam/teaselseam/platform"
 )
 
 // TestWholePath guards against a break anywhere on the way of a request: through
@@ -362,6 +365,55 @@
 	}
 }
 
+// TestStopWhileBusy guards against a request that is taken late after SIGTERM and
+// cut off by the end of the process, while callers go on sending.
+func TestStopWhileBusy(t *testing.T) {
+	c := prepareCluster(t, "stock", "stock")
+	c.settings = func(s *platform.Settings) { s.Bounds.StopGrace = 3 * time.Second }
+	c.start()
+	for _, n := range c.nodes {
+		n.backend.Behave(func(http.ResponseWriter, *http.Request) bool {
+			time.Sleep(300 * time.Millisecond)
+			return false
+		})
+	}
+	stopping := c.nodes[0]
+	var mu sync.Mutex
+	var bad []reply
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				id := newID()
+				r := c.send(stopping, http.MethodGet, "/stock/view/1", "key-guild", "", id, 2*time.Second)
+				if errors.Is(r.err, syscall.ECONNREFUSED) {
+					return
+				}
+				// A request that crosses the close and was not passed on is not lost.
+				if !r.served() && r.status != http.StatusServiceUnavailable && c.ran(id) {
+					mu.Lock()
+					bad = append(bad, r)
+					mu.Unlock()
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	began := time.Now()
+	stopping.stop()
+	<-stopping.stopped
+	wg.Wait()
+	if took := time.Since(began); took > stopping.settings.Bounds.StopGrace {
+		t.Errorf("the stop took %v", took)
+	}
+	if len(bad) > 0 {
+		t.Errorf("%d requests were cut off, the first: %+v", len(bad), bad[0])
+	}
+}
+
 // TestCrashingRequest guards against a request that crashes one backend server
 // after the other: after two deaths no node runs it any more.
 func TestCrashingRequest(t *testing.T) {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -12,17 +12,28 @@
 	// quiet is how long no request may be active before the node ends.
 	quiet = 250 * time.Millisecond
 	// endMargin is the time left before the platform kills the process.
-	endMargin  = 400 * time.Millisecond
+	endMargin = 600 * time.Millisecond
+	// takePart of the time to stop is how long callers' requests are still taken.
+	// Some are sent until the end, since callers have nowhere else to go while most
+	// nodes of a data centre stop. One taken 5.5 s after SIGTERM was cut off by the
+	// end of the process.
+	takePart   = 0.7
 	stopPoll   = 50 * time.Millisecond
 	closeAfter = 100 * time.Millisecond
 )
 
+// takes tells whether the node still takes requests of callers.
+func (n *Node) takes() bool {
+	return !n.stopping.Load() || int64(time.Since(n.began)) < n.takeUntil.Load()
+}
+
 // stop ends the node without cutting a request: it says that it is not ready,
 // takes its backend server out of the fleet, serves what still comes, and closes
 // once nothing is active or the time is up.
 func (n *Node) stop() {
 	began := time.Now()
 	n.stopping.Store(true)
+	n.takeUntil.Store(int64(began.Sub(n.began) + time.Duration(takePart*float64(n.settings.Bounds.StopGrace))))
 	n.log.Info("node is stopping", "event", "stopping", "active", n.active.Load())
 	for _, s := range n.servers {
 		s.SetKeepAlivesEnabled(s.name != "callers" && s.name != "peers")
