Bound the volume of the log, never wait for it, and keep the heap small

Lines are collected and written in the background; what does not fit is dropped, counted and said. Errors of package oops no longer bring a stack trace. Garbage is collected at 40 % growth, because memory at its peak is dear at Obręcz.

--- a/cmd/teaselseamd/sidecar.go
+++ b/cmd/teaselseamd/sidecar.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/sidecar"
@@ -16,6 +17,13 @@
 // rest holds what the runtime does not count, and bytes that the kernel buffers.
 const memoryPart = 0.5
 
+// gcPercent keeps the heap small: memory at its peak costs users more than the
+// processor time of collecting it.
+const gcPercent = 40
+
+// lastLines is how long the end of the process waits for its log to be written.
+const lastLines = 200 * time.Millisecond
+
 type sidecarCmd struct{}
 
 // Run serves with the settings that the platform names until SIGTERM.
@@ -25,10 +33,13 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(gcPercent)
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
 	}
-	log := obs.NewLogger(os.Stdout, c.LogLevel, settings.Node)
+	out := obs.NewWriter(os.Stdout)
+	defer out.Close(lastLines)
+	log := obs.NewLogger(out, c.LogLevel, settings.Node)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	go func() {
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -3,16 +3,54 @@
 package obs
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/oops"
 )
 
 // NewLogger returns a logger that writes key=value lines with the node's name.
 func NewLogger(w io.Writer, level slog.Level, node string) *slog.Logger {
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})).With("node", node)
+	return slog.New(errorText{slog.NewTextHandler(w, &slog.HandlerOptions{Level: level})}).With("node", node)
+}
+
+// errorText writes errors as their text with the step and the peer at which they
+// arose. Errors of package oops would otherwise be written with a stack trace.
+type errorText struct{ slog.Handler }
+
+// Handle implements slog.Handler.
+func (h errorText) Handle(ctx context.Context, r slog.Record) error {
+	out := slog.NewRecord(r.Time, r.Level, r.Message, r.PC)
+	r.Attrs(func(a slog.Attr) bool {
+		if err, ok := a.Value.Any().(error); ok {
+			a.Value = slog.StringValue(textOf(err))
+		}
+		out.AddAttrs(a)
+		return true
+	})
+	return h.Handler.Handle(ctx, out)
+}
+
+// WithAttrs implements slog.Handler.
+func (h errorText) WithAttrs(as []slog.Attr) slog.Handler { return errorText{h.Handler.WithAttrs(as)} }
+
+// WithGroup implements slog.Handler.
+func (h errorText) WithGroup(name string) slog.Handler { return errorText{h.Handler.WithGroup(name)} }
+
+func textOf(err error) string {
+	text := err.Error()
+	if o, ok := oops.AsOops(err); ok {
+		for _, key := range []string{"step", "peer"} {
+			if v, ok := o.Context()[key]; ok {
+				text += fmt.Sprintf(" %s=%v", key, v)
+			}
+		}
+	}
+	return text
 }
 
 // MetricsHandler serves the metrics of a set and of the process.
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -88,7 +88,7 @@
 		}
 	}
 	if last == nil {
-		n.log.Warn("no backend server for a call", "event", "unplaced", "id", c.ID, "route", c.Route, "service", c.Service)
+		n.requests.Warn("no backend server for a call", "event", "unplaced", "id", c.ID, "route", c.Route, "service", c.Service)
 		return hop.Refused(request.ReasonNoBackend, shortReturn)
 	}
 	if f := last.Refusal; f != nil && f.Outcome == request.NotRun && f.RetryAfter <= 0 {
@@ -144,7 +144,7 @@
 		kind, reason = routing.Cancelled, request.ReasonDeadline
 	}
 	n.places.done(c.Service, at.id, routing.Result{Kind: kind, Latency: took})
-	n.log.Warn("no answer of a node", "event", "peer_lost", "id", c.ID, "route", c.Route, "peer", at.address,
+	n.requests.Warn("no answer of a node", "event", "peer_lost", "id", c.ID, "route", c.Route, "peer", at.address,
 		"sent", err.Sent, "took", took, "err", err.Err)
 	if err.Sent {
 		return hop.MayHaveRun(reason)
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -105,7 +105,7 @@
 	a.Hints = g.n.behind.hints(c)
 	if a.Refusal != nil {
 		g.n.metrics.Refused("guard", a.Refusal)
-		g.log.Info("call refused at the guard", "event", "refused", "id", c.ID, "route", c.Route,
+		g.n.requests.Info("call refused at the guard", "event", "refused", "id", c.ID, "route", c.Route,
 			"reason", string(a.Refusal.Reason), "outcome", a.Refusal.Outcome.String(),
 			"running", a.Load.Running, "waiting", a.Load.Queued, "wait", a.Load.Wait)
 	}
@@ -198,7 +198,7 @@
 	if ended {
 		reason = request.ReasonDeadline
 	}
-	g.log.Warn("no answer of the backend server", "event", "backend_lost", "id", c.ID, "route", c.Route,
+	g.n.requests.Warn("no answer of the backend server", "event", "backend_lost", "id", c.ID, "route", c.Route,
 		"peer", addr, "sent", err.Sent, "reason", string(reason), "err", err.Err)
 	if err.Sent {
 		if !ended {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -146,7 +146,7 @@
 func (n *Node) refuse(w http.ResponseWriter, r *http.Request, id string, f *request.Refusal) {
 	n.metrics.Refused("ingress", f)
 	status := refusalStatus(f)
-	n.log.Info("request refused", "event", "answered", "id", id, "host", r.Host, "path", r.URL.Path, "status", status,
+	n.requests.Info("request refused", "event", "answered", "id", id, "host", r.Host, "path", r.URL.Path, "status", status,
 		"reason", string(f.Reason), "outcome", f.Outcome.String(), "return_after", f.RetryAfter,
 		"configuration_age", n.knowledge.age())
 	h := w.Header()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -56,7 +56,8 @@
 
 // Node is one running sidecar.
 type Node struct {
-	log         *slog.Logger
+	log         *slog.Logger // changes of what the node believes
+	requests    *slog.Logger // decisions on requests, bounded in volume
 	settings    *platform.Settings
 	incarnation string
 	store       *platform.Store
@@ -88,7 +89,7 @@
 // New opens the listeners of a node.
 func New(log *slog.Logger, s *platform.Settings) (*Node, error) {
 	n := &Node{
-		log: log, settings: s, began: time.Now(),
+		log: log, requests: slog.New(obs.Limit(log.Handler())), settings: s, began: time.Now(),
 		incarnation: uuid.Must(uuid.NewV7()).String(),
 		store:       platform.NewStore(s.StoreAddress, hop.Dialer(storeDial)),
 		metrics:     obs.NewMetrics(),
