Replace the node of the first design by the sidecar; change the tree through the store

What the platform makes needless is removed with its tests: claims and the ring (each client attempt has an ID of its own and is sent to one backend server at a time, never again after it may have run), the change log, freshness evidence of data centres and the gossip of members (the store is the one source of both), lent rate tokens with lenders chosen by the ring (package share needs no agreement), mutual TLS and twirp on the path of requests, the administration API, and the first stand-ins.

The settings tree, the command-line tool and make dev stay. The tool writes tree, keys and audit trail to the store in one transaction; nodes take from the tree what the platform's configuration has no place for. progress_timeout is gone: TCP probes and the bound on unacknowledged bytes do its work. host and aim are new.

--- a/cmd/teaselseam/main.go
+++ b/cmd/teaselseam/main.go
@@ -1,5 +1,6 @@
-// Command teaselseam is the operators' command-line tool. It talks to the
-// administration API of any node.
+// Command teaselseam is the operators' command-line tool. It changes the settings
+// tree and the workspace keys of a fleet through the platform's store, shows what a
+// node believes, and follows a request through the logs of several nodes.
 package main
 
 import (
@@ -14,8 +15,9 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/teaselseam/teaselseam/internal/adminapi"
+	"github.com/teaselseam/teaselseam/internal/operator"
 	"github.com/teaselseam/teaselseam/internal/workspace"
+	"github.com/teaselseam/teaselseam/platform"
 )
 
 // Exit codes.
@@ -23,48 +25,47 @@
 	exitOK       = 0
 	exitError    = 1
 	exitUsage    = 2
-	exitConflict = 3 // another edit came first
+	exitConflict = 3 // another change came first
 	exitUnknown  = 4 // the change may or may not have taken effect
-	exitRefused  = 5 // token is not known or lacks the right
 )
 
 const description = `Edit settings and keys of a teaselseam fleet, and look at its state.
 
-Exit codes: 0 ok, 1 error, 2 usage, 3 conflict, 4 unknown outcome, 5 refused for lack of rights.`
+Exit codes: 0 ok, 1 error, 2 usage or an invalid change, 3 conflict, 4 unknown outcome.`
 
 type cli struct {
-	Address string        `help:"IP:port of the administration listener of any node." env:"TEASELSEAM_ADDRESS" default:"127.0.0.1:8082"`
-	Token   string        `help:"Operator's token. The environment variable keeps it out of process lists." env:"TEASELSEAM_TOKEN" placeholder:"TOKEN"`
+	Store   string        `help:"IP:port of the store for operators." env:"TEASELSEAM_STORE" default:"127.0.0.1:8090"`
+	Actor   string        `help:"Name under which changes stand in the audit trail." env:"TEASELSEAM_ACTOR" default:"operator"`
 	Output  string        `help:"Form of the output (text or json)." enum:"text,json" default:"text"`
-	Timeout time.Duration `help:"Longest wait for an answer." default:"30s"`
+	Timeout time.Duration `help:"Longest wait for an answer." default:"10s"`
 
-	Tree       treeCmd       `cmd:"" help:"Show and change the settings tree."`
-	Effective  effectiveCmd  `cmd:"" help:"Show the values in force for a workspace, route or service, and where each comes from."`
-	Key        keyCmd        `cmd:"" help:"Issue, list and revoke workspace keys."`
-	Status     statusCmd     `cmd:"" help:"Show the fleet and the oldest revision in force."`
-	Audit      auditCmd      `cmd:"" help:"Show who changed what, and when."`
-	Quarantine quarantineCmd `cmd:"" help:"List and lift quarantined requests."`
-	Operation  operationCmd  `cmd:"" help:"Show whether a change took effect, by its operation ID."`
+	Tree      treeCmd      `cmd:"" help:"Show and change the settings tree."`
+	Effective effectiveCmd `cmd:"" help:"Show the values in force for a branch, and where each comes from."`
+	Key       keyCmd       `cmd:"" help:"Issue, list and revoke workspace keys."`
+	Audit     auditCmd     `cmd:"" help:"Show who changed what, and when."`
+	Status    statusCmd    `cmd:"" help:"Show what a node believes."`
+	Follow    followCmd    `cmd:"" help:"Follow a request through the logs of several nodes."`
+}
+
+// session is what commands work with.
+type session struct {
+	ctx      context.Context
+	operator *operator.Operator
+	print    *printer
+	in       io.Reader
 }
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	os.Exit(run(ctx, os.Args[1:], streams{os.Stdin, os.Stdout, os.Stderr}))
-}
-
-// streams are the standard streams of one run.
-type streams struct {
-	in  io.Reader
-	out io.Writer
-	err io.Writer
+	os.Exit(run(ctx, os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
 
 // helpShown ends the parser after it printed help.
 type helpShown struct{}
 
 // run runs one command and returns the exit code.
-func run(ctx context.Context, args []string, s streams) (code int) {
+func run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) (code int) {
 	defer func() {
 		if r := recover(); r != nil {
 			if _, ok := r.(helpShown); !ok {
@@ -75,47 +76,39 @@
 	}()
 	var c cli
 	parser, err := kong.New(&c, kong.Name("teaselseam"), kong.Description(description),
-		kong.Writers(s.out, s.err), kong.Exit(func(int) { panic(helpShown{}) }))
+		kong.Writers(out, errOut), kong.Exit(func(int) { panic(helpShown{}) }))
 	if err != nil {
-		fmt.Fprintln(s.err, "teaselseam:", err)
+		fmt.Fprintln(errOut, "teaselseam:", err)
 		return exitError
 	}
 	k, err := parser.Parse(args)
 	if err != nil {
-		fmt.Fprintf(s.err, "teaselseam: %s\nTry teaselseam --help.\n", workspace.Redact(err.Error()))
+		fmt.Fprintf(errOut, "teaselseam: %s\nTry teaselseam --help.\n", workspace.Redact(err.Error()))
 		return exitUsage
 	}
-	k.BindTo(ctx, (*context.Context)(nil))
-	err = k.Run(newClient(&c), &printer{out: s.out, json: c.Output == "json"}, s)
-	if err != nil {
-		(&printer{out: s.err, json: c.Output == "json"}).failure(err)
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	s := &session{
+		ctx: ctx, in: in, print: &printer{out: out, json: c.Output == "json"},
+		operator: operator.New(platform.NewStore(c.Store, nil), c.Actor),
+	}
+	if err = k.Run(s); err != nil {
+		fmt.Fprintln(errOut, "teaselseam:", workspace.Redact(err.Error()))
 	}
 	return exitCode(err)
 }
 
-// usageError is a wrong use that the parser cannot see.
-type usageError struct{ error }
-
 // exitCode returns the exit code of an error.
 func exitCode(err error) int {
-	var usage usageError
-	var e *adminapi.Error
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.As(err, &usage):
+	case errors.Is(err, operator.ErrInvalid):
 		return exitUsage
-	case !errors.As(err, &e):
-		return exitError
-	}
-	switch e.Code {
-	case adminapi.CodeConflict:
+	case errors.Is(err, operator.ErrConflict):
 		return exitConflict
-	case adminapi.CodeUnknownOutcome:
+	case errors.Is(err, operator.ErrUnknown):
 		return exitUnknown
-	case adminapi.CodeUnauthenticated, adminapi.CodeForbidden:
-		return exitRefused
-	default:
-		return exitError
 	}
+	return exitError
 }
--- a/cmd/teaselseamd/dev.go
+++ b/cmd/teaselseamd/dev.go
@@ -2,105 +2,144 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"fmt"
+	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"time"
 
-	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/teaselseam/teaselseam/internal/changelog"
-	"github.com/teaselseam/teaselseam/internal/config"
-	"github.com/teaselseam/teaselseam/internal/node"
 	"github.com/teaselseam/teaselseam/internal/obs"
-	"github.com/teaselseam/teaselseam/internal/peer"
-	"github.com/teaselseam/teaselseam/internal/platform/standin"
-	"github.com/teaselseam/teaselseam/internal/request"
-	"github.com/teaselseam/teaselseam/internal/samplebackend"
+	"github.com/teaselseam/teaselseam/internal/operator"
 	"github.com/teaselseam/teaselseam/internal/settings"
-	"github.com/teaselseam/teaselseam/internal/store"
-	"github.com/teaselseam/teaselseam/internal/workspace"
+	"github.com/teaselseam/teaselseam/internal/sidecar"
+	"github.com/teaselseam/teaselseam/internal/standin"
+	"github.com/teaselseam/teaselseam/platform"
 )
 
-// Addresses and names of the development node.
+// Addresses of the development fleet. Node i uses the ports from firstPort + 10 i.
 const (
-	devIngress = "127.0.0.1:8080"
-	devPeer    = "127.0.0.1:8081"
-	devAdmin   = "127.0.0.1:8082"
-	devBackend = "127.0.0.1:8083"
-	devToken   = "dev-operator"
-	devPoll    = 50 * time.Millisecond
+	devHost      = "127.0.0.1"
+	storePort    = 8089
+	operatorPort = 8090
+	firstPort    = 8100
+	portsPerNode = 10
 )
 
 const devTree = `
-[defaults]
-rate = 1000
-burst = 1000
-
 [workspace demo]
-
-[route echo]
-path = /echo
-service = sample
+rate = 50
+burst = 50
+[route hello]
+path = /hello
+service = hello
 idempotent = true
 `
 
 type devCmd struct{}
 
-// Run starts a node with everything it needs in this process.
-func (devCmd) Run(ctx context.Context, c *cli) error {
-	log := obs.NewLogger(os.Stderr, c.LogLevel, "dev")
-	authority, err := peer.NewDevAuthority()
-	if err != nil {
-		return err
+// devNode is one node of the development fleet with its backend server.
+type devNode struct {
+	settings *platform.Settings
+	node     *sidecar.Node
+	backend  *standin.Backend
+}
+
+// Run serves until a signal.
+func (d *devCmd) Run(ctx context.Context, c *cli) error {
+	g, ctx := errgroup.WithContext(ctx)
+	st := standin.NewStore()
+	g.Go(func() error { return serveStore(ctx, st, at(storePort), at(operatorPort)) })
+	var first *devNode
+	for i := range 2 {
+		n, err := newDevNode(c.LogLevel, i)
+		if err != nil {
+			return err
+		}
+		if first == nil {
+			first = n
+		}
+		g.Go(func() error { return n.node.Run(ctx) })
+		g.Go(func() error { return n.backend.Serve(ctx) })
 	}
-	creds, err := authority.Credentials("dev")
-	if err != nil {
-		return err
+	g.Go(func() error { return announceDev(ctx, first.settings) })
+	return g.Wait()
+}
+
+func at(port int) string { return net.JoinHostPort(devHost, fmt.Sprint(port)) }
+
+func newDevNode(level slog.Level, i int) (*devNode, error) {
+	port := firstPort + portsPerNode*i
+	s := &platform.Settings{
+		Node: fmt.Sprint("node-", i), IP: devHost, DataCentre: fmt.Sprint("dc-", i), Service: "hello",
+		CallerAddress: at(port), PeerAddress: at(port + 1), ReadyAddress: at(port + 2), AnnounceAddress: at(port + 3),
+		BackendAddress: at(port + 4), FirstPort: port + 5, LastPort: port + 9,
+		AnnounceInterval: time.Second, StoreAddress: at(storePort),
+		Bounds: platform.Bounds{
+			Revoke: 5 * time.Second, StopGrace: 6 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 50,
+		},
 	}
-	table := standin.NewMemory()
-	key, err := seed(ctx, store.NewLog(table))
+	node, err := sidecar.New(obs.NewLogger(os.Stderr, level, s.Node), s)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	n, err := node.New(log, devConfig(), creds, table)
+	return &devNode{s, node, standin.NewBackend(standin.BackendConfig{
+		ID: fmt.Sprint("hello-", i), Service: s.Service, Address: s.BackendAddress, Announce: s.AnnounceAddress,
+		Slots: 16, Work: 5 * time.Millisecond, Interval: time.Second,
+	})}, nil
+}
+
+// announceDev writes the first configuration and prints what to try once it works.
+func announceDev(ctx context.Context, s *platform.Settings) error {
+	tree, err := settings.ParseBranches("dev", []byte(devTree))
 	if err != nil {
 		return err
 	}
-	backend := samplebackend.New(log, samplebackend.Config{
-		Service: "sample", Address: devBackend, Ingress: devIngress, Slots: 16, ServiceTime: time.Millisecond, Connections: 100,
-	})
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return announceReady(ctx, key) })
-	g.Go(func() error { return n.Run(ctx) })
-	g.Go(func() error { return backend.Run(ctx) })
-	return g.Wait()
-}
-
-// announceReady prints how to send a request once one is served. That takes about
-// two seconds, because the first ring is committed by then.
-func announceReady(ctx context.Context, key string) error {
-	for !served(ctx, key) {
-		select {
-		case <-ctx.Done():
+	var key string
+	op := operator.New(platform.NewStore(at(operatorPort), nil), "dev")
+	for {
+		_, err = op.Apply(ctx, func(f *operator.Fleet) (string, error) {
+			if err := f.Edit(tree); err != nil {
+				return "", err
+			}
+			var err error
+			key, err = f.IssueKey("demo")
+			return "set up the development fleet", err
+		})
+		if err == nil {
+			break
+		}
+		if !sleep(ctx) {
 			return nil
-		case <-time.After(devPoll):
 		}
 	}
-	fmt.Printf("\ntry:\n\n    curl -i -H '%s: %s' -d hello http://%s/echo\n\noperator token for teaselseam: %s\n\n",
-		request.HeaderKey, key, devIngress, devToken)
+	for !ready(ctx, s.ReadyAddress) {
+		if !sleep(ctx) {
+			return nil
+		}
+	}
+	fmt.Printf("Try:\n  curl -H 'Authorization: Bearer %s' -H 'Request-Id: r1' http://%s/hello/world\n"+
+		"  teaselseam tree show\n  teaselseam status %s\n", key, s.CallerAddress, at(s.FirstPort))
 	return nil
 }
 
-func served(ctx context.Context, key string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+devIngress+"/echo", nil)
+// sleep waits a moment. It returns false if ctx has ended.
+func sleep(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(100 * time.Millisecond):
+		return true
+	}
+}
+
+func ready(ctx context.Context, address string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+platform.ReadyPath, nil)
 	if err != nil {
 		return false
 	}
-	req.Header.Set(request.HeaderKey, key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return false
@@ -108,53 +147,3 @@
 	resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
-
-func devConfig() *config.Config {
-	digest := sha256.Sum256([]byte(devToken))
-	return &config.Config{
-		Node: config.Node{
-			Name: "dev", DataCentre: "dc1", Region: "region1",
-			Ingress: devIngress, PeerAddr: devPeer, Admin: devAdmin,
-		},
-		Operators: []config.Operator{{Name: "dev", TokenDigest: hex.EncodeToString(digest[:]), Rights: config.Rights}},
-	}
-}
-
-// seed writes the demonstration tree and issues a key.
-func seed(ctx context.Context, log *store.Log) (key string, err error) {
-	tree, err := settings.Parse("dev", []byte(devTree))
-	if err != nil {
-		return "", err
-	}
-	change := &changelog.SettingsChange{}
-	for b, v := range tree.Branches() {
-		change.Branches = append(change.Branches, changelog.BranchChange{Branch: b, New: v})
-	}
-	key = workspace.GenerateKey()
-	for _, e := range []changelog.Entry{
-		{Settings: change},
-		{KeyIssued: &changelog.KeyChange{Digest: workspace.DigestOf(key), Workspace: "demo"}},
-	} {
-		head, err := log.Head(ctx)
-		if err != nil {
-			return "", err
-		}
-		e.Operation, e.Actor, e.Time = uuid.NewString(), "dev", time.Now()
-		if _, err := log.Append(ctx, head, e); err != nil {
-			return "", err
-		}
-	}
-	return key, nil
-}
-
-func checkTree(file string) error {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return err
-	}
-	if _, err := settings.Parse(file, data); err != nil {
-		return err
-	}
-	fmt.Println("ok")
-	return nil
-}
--- /dev/null
+++ b/cmd/teaselseamd/standins.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/obs"
+	"github.com/teaselseam/teaselseam/internal/standin"
+)
+
+type storeCmd struct {
+	Address  string `help:"IP:port for nodes." required:""`
+	Operator string `help:"IP:port for operators, who may write the configuration." required:""`
+}
+
+// Run serves an empty store until a signal.
+func (s *storeCmd) Run(ctx context.Context) error {
+	return serveStore(ctx, standin.NewStore(), s.Address, s.Operator)
+}
+
+// serveStore serves a store for nodes and for operators.
+func serveStore(ctx context.Context, st *standin.Store, nodes, operators string) error {
+	failed := make(chan error, 2)
+	for address, handler := range map[string]http.Handler{nodes: st, operators: st.Operator()} {
+		server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: time.Second}
+		context.AfterFunc(ctx, func() { server.Close() })
+		go func() { failed <- server.ListenAndServe() }()
+	}
+	if err := <-failed; err != http.ErrServerClosed {
+		return fmt.Errorf("store stand-in: %w", err)
+	}
+	return nil
+}
+
+type backendCmd struct {
+	ID       string        `help:"ID of the backend server." required:""`
+	Service  string        `help:"Name of the service." required:""`
+	Address  string        `help:"IP:port to listen on." required:""`
+	Announce string        `help:"IP:port at which the node beside it takes announcements." required:""`
+	Slots    int           `help:"Requests run at the same time." default:"16"`
+	Work     time.Duration `help:"Time that a request holds its slot." default:"5ms"`
+}
+
+// Run serves sample requests until a signal.
+func (b *backendCmd) Run(ctx context.Context, c *cli) error {
+	log := obs.NewLogger(os.Stdout, c.LogLevel, b.ID)
+	return standin.NewBackend(standin.BackendConfig{
+		ID: b.ID, Service: b.Service, Address: b.Address, Announce: b.Announce, Slots: b.Slots, Work: b.Work,
+		Interval: time.Second,
+		Log:      func(format string, args ...any) { log.Warn(fmt.Sprintf(format, args...)) },
+	}).Serve(ctx)
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,6 +2,10 @@
 // are matched against it: the route of a host and path, the workspace of a key,
 // and what each request may do.
 //
+// Routes, services and workspaces come from the platform's configuration. What that
+// has no place for, such as weights, allowed workspaces and limits of services,
+// comes from the settings tree, in which each branch inherits from the one above.
+//
 // A Catalog is immutable. A node swaps it as a whole when it learns of a newer
 // version (Newer), so a request is handled by one version from its start to its
 // end, and a node never goes back to an older one.
@@ -10,12 +14,12 @@
 import (
 	"cmp"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/internal/settings"
 	"github.com/teaselseam/teaselseam/internal/workspace"
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -26,9 +30,10 @@
 
 	hosts      map[string][]*Route // longest prefix first
 	routes     []*Route
-	keys       map[workspace.Digest]*Workspace
+	keys       *workspace.Keys
 	workspaces []*Workspace
-	services   map[string]platform.Service
+	byName     map[string]*Workspace
+	tree       *settings.Compiled
 	levels     map[rank]request.Importance
 	withKeys   bool
 }
@@ -36,28 +41,43 @@
 // Route is a route of the catalog.
 type Route struct {
 	platform.Route
-	weight float64 // sum over the parts
+	weight  float64         // sum over the parts
+	allowed map[string]bool // workspaces; nil for all
 }
 
+// Allows tells whether a workspace may use the route.
+func (r *Route) Allows(w *Workspace) bool { return r.allowed == nil || w != nil && r.allowed[w.Name] }
+
 // Workspace is a workspace of the catalog. Its keys are kept as digests only.
 type Workspace struct {
 	Name  string
 	Rank  *int
 	Rate  float64
 	Burst float64
+	// Weight is the share of a contended service relative to other workspaces.
+	Weight        float64
+	MaxImportance request.Importance
 }
 
-// New compiles a configuration.
-func New(c *platform.Configuration) *Catalog {
+// New compiles a configuration with a settings tree, which may be nil.
+func New(c *platform.Configuration, tree *settings.Tree) *Catalog {
+	if tree == nil {
+		tree = settings.NewTree()
+	}
+	compiled := settings.Compile(tree)
+	allowed := map[string]map[string]bool{}
+	for _, r := range compiled.Routes() {
+		allowed[r.Name] = r.Workspaces
+	}
 	out := &Catalog{
+		tree:     compiled,
 		Version:  c.Version,
 		hosts:    make(map[string][]*Route),
-		keys:     make(map[workspace.Digest]*Workspace),
-		services: make(map[string]platform.Service, len(c.Services)),
+		byName:   make(map[string]*Workspace, len(c.Workspaces)),
 		withKeys: c.Workspaces != nil,
 	}
 	for _, r := range c.Routes {
-		route := &Route{Route: r}
+		route := &Route{Route: r, allowed: allowed[r.Name]}
 		for _, p := range r.Parts {
 			route.weight += p.Weight
 		}
@@ -68,16 +88,20 @@
 	for _, rs := range out.hosts {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	for _, s := range c.Services {
-		out.services[s.Name] = s
-	}
+	issued := map[workspace.Digest]string{}
 	for _, w := range c.Workspaces {
-		ws := &Workspace{Name: w.Name, Rank: w.Rank, Rate: w.Rate, Burst: w.Burst}
+		set := compiled.Workspace(w.Name)
+		ws := &Workspace{
+			Name: w.Name, Rank: w.Rank, Rate: w.Rate, Burst: w.Burst,
+			Weight: set.Weight * max(w.Rate, 1), MaxImportance: set.MaxImportance,
+		}
 		out.workspaces = append(out.workspaces, ws)
+		out.byName[w.Name] = ws
 		for _, k := range w.Keys {
-			out.keys[workspace.DigestOf(k)] = ws
+			issued[workspace.DigestOf(k)] = w.Name
 		}
 	}
+	out.keys = workspace.KeysOf(issued, nil)
 	out.rankAll()
 	return out
 }
@@ -88,12 +112,14 @@
 // Route returns the route of a host, with or without a port, and a path: the one
 // with the longest prefix that begins the path.
 func (c *Catalog) Route(host, path string) (*Route, bool) {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	for _, r := range c.hosts[strings.ToLower(host)] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		host = host[:i] // the colons of an IPv6 address stand in brackets
+	}
+	for _, h := range []string{strings.ToLower(host), settings.AnyHost} {
+		for _, r := range c.hosts[h] {
+			if strings.HasPrefix(path, r.Prefix) {
+				return r, true
+			}
 		}
 	}
 	return nil, false
@@ -107,8 +133,8 @@
 	if key == "" {
 		return nil, false
 	}
-	w, ok := c.keys[workspace.DigestOf(key)]
-	return w, ok
+	name, verdict := c.keys.Check(workspace.DigestOf(key))
+	return c.byName[name], verdict == workspace.Valid
 }
 
 // Workspaces returns all workspaces.
@@ -117,11 +143,8 @@
 // NeedsKey tells whether requests on the route carry a workspace key.
 func (c *Catalog) NeedsKey(r *Route) bool { return c.withKeys && !r.Open }
 
-// Service returns a service by name.
-func (c *Catalog) Service(name string) (platform.Service, bool) {
-	s, ok := c.services[name]
-	return s, ok
-}
+// Service returns the settings of a service.
+func (c *Catalog) Service(name string) *settings.Service { return c.tree.Service(name) }
 
 // Pick chooses the service of a request by the weights of the route's parts.
 // A part that is short of room keeps its weight: what does not fit there is
@@ -197,8 +220,12 @@
 // Importance returns the importance of a request on the route for a workspace,
 // nil for requests without a key.
 func (c *Catalog) Importance(r *Route, w *Workspace) request.Importance {
-	if i, ok := c.levels[rankOf(r, w)]; ok {
-		return i
+	i, ok := c.levels[rankOf(r, w)]
+	if !ok {
+		i = request.Normal
+	}
+	if w != nil {
+		i = min(i, w.MaxImportance)
 	}
-	return request.Normal
+	return i
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -112,6 +112,7 @@
 type Queue struct {
 	slots   int
 	limit   float64
+	maxWait time.Duration // longest wait of a request; zero means no bound
 	running int
 	inner   int       // calls among the running
 	calls   []*Ticket // waiting calls in the order in which they run
@@ -136,6 +137,9 @@
 	q.limit = q.most()
 }
 
+// SetMaxWait sets the longest time that a request waits.
+func (q *Queue) SetMaxWait(d time.Duration) { q.maxWait = d }
+
 func (q *Queue) most() float64 {
 	return max(math.Floor(float64(q.slots)*(1-spareSlots)), 1)
 }
@@ -217,8 +221,11 @@
 			until = t.Deadline
 		}
 	}
-	end := time.Duration(work/q.limit + q.cost(t.Route))
-	return now.Add(end).After(until)
+	wait := time.Duration(work / q.limit)
+	if q.maxWait > 0 && now.Add(wait).After(t.arrived.Add(q.maxWait)) {
+		return true
+	}
+	return now.Add(wait + q.Cost(t.Route)).After(until)
 }
 
 // evict takes out the tickets of a line from a place on that are expected to be
--- a/internal/settings/compiled.go
+++ b/internal/settings/compiled.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -21,11 +22,13 @@
 // Route holds the effective settings of a route.
 type Route struct {
 	Name        string
+	Host        string // any for every host
 	Path        string
 	Service     string
 	Workspaces  map[string]bool // nil means open to all
 	Importance  request.Importance
 	Idempotent  bool
+	Aim         time.Duration
 	Timeout     time.Duration
 	RetryBudget int
 }
@@ -37,12 +40,11 @@
 
 // Service holds the effective settings of a service.
 type Service struct {
-	Name            string
-	RetryRatio      float64
-	MaxConnections  int
-	MaxBody         int64 // bytes
-	QueueTime       time.Duration
-	ProgressTimeout time.Duration
+	Name           string
+	RetryRatio     float64
+	MaxConnections int
+	MaxBody        int64 // bytes
+	QueueTime      time.Duration
 }
 
 // Compiled is a tree with all values resolved and typed, for use on the traffic
@@ -85,6 +87,29 @@
 	return c
 }
 
+// AnyHost is the host of a route that serves every host.
+const AnyHost = "any"
+
+// Routes returns all routes, longest path first.
+func (c *Compiled) Routes() []*Route { return c.routes }
+
+// Workspaces returns the names of all workspaces that have a branch.
+func (c *Compiled) Workspaces() []string { return named(c.workspaces) }
+
+// Services returns the names of all services that have a branch.
+func (c *Compiled) Services() []string { return named(c.services) }
+
+func named[T any](entries map[string]*T) []string {
+	var out []string
+	for name := range entries {
+		if name != "" {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Tree returns the tree that c was compiled from.
 func (c *Compiled) Tree() *Tree { return c.tree }
 
@@ -153,14 +178,17 @@
 	b := Branch{Kind: KindRoute, Name: name}
 	path, _ := t.Lookup(b, "path")
 	service, _ := t.Lookup(b, "service")
+	host, _ := t.Lookup(b, "host")
 	idempotent, _ := t.Lookup(b, "idempotent")
 	return &Route{
 		Name:        name,
+		Host:        host,
 		Path:        path,
 		Service:     service,
 		Workspaces:  t.workspaceSet(b),
 		Importance:  t.importance(b, "importance"),
 		Idempotent:  idempotent == "true",
+		Aim:         t.duration(b, "aim"),
 		Timeout:     t.duration(b, "timeout"),
 		RetryBudget: int(t.integer(b, "retry_budget")),
 	}
@@ -169,12 +197,11 @@
 func (t *Tree) service(name string) *Service {
 	b := Branch{Kind: KindService, Name: name}
 	return &Service{
-		Name:            name,
-		RetryRatio:      t.float(b, "retry_ratio"),
-		MaxConnections:  int(t.integer(b, "max_connections")),
-		MaxBody:         t.integer(b, "max_body"),
-		QueueTime:       t.duration(b, "queue_time"),
-		ProgressTimeout: t.duration(b, "progress_timeout"),
+		Name:           name,
+		RetryRatio:     t.float(b, "retry_ratio"),
+		MaxConnections: int(t.integer(b, "max_connections")),
+		MaxBody:        t.integer(b, "max_body"),
+		QueueTime:      t.duration(b, "queue_time"),
 	}
 }
 
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -70,6 +70,14 @@
 		Key: "service", Kind: KindRoute, Type: TypeName, Own: true,
 		Doc: "Service that serves the route.",
 	},
+	{
+		Key: "host", Kind: KindRoute, Type: TypeName, Default: "any",
+		Doc: "Host that requests name; any stands for every host.",
+	},
+	{
+		Key: "aim", Kind: KindRoute, Type: TypeDuration, Min: 0.001, Max: 600, Default: "1s",
+		Doc: "Time within which an answer has its full worth. Requests that will miss it are refused while others wait.",
+	},
 	{
 		Key: "workspaces", Kind: KindRoute, Type: TypeNames, Default: "*",
 		Doc: "Workspaces that may use the route, separated by commas; * opens it to all.",
@@ -87,8 +95,8 @@
 		Doc: "Deadline of requests that name none, and the longest allowed.",
 	},
 	{
-		Key: "retry_budget", Kind: KindRoute, Type: TypeInteger, Unit: "attempts", Min: 0, Max: 64, Default: "3",
-		Doc: "Extra attempts for a whole call tree.",
+		Key: "retry_budget", Kind: KindRoute, Type: TypeInteger, Unit: "attempts", Min: 0, Max: 64, Default: "1",
+		Doc: "Further backend servers that one request may be sent to.",
 	},
 	{
 		Key: "retry_ratio", Kind: KindService, Type: TypeNumber, Unit: "retries per first attempt", Min: 0, Max: 1, Default: "0.1",
@@ -96,19 +104,15 @@
 	},
 	{
 		Key: "max_connections", Kind: KindService, Type: TypeInteger, Unit: "connections", Min: 1, Max: 100000, Default: "200",
-		Doc: "Connections to one backend server that does not announce a number.",
+		Doc: "Connections that one backend server accepts.",
 	},
 	{
-		Key: "max_body", Kind: KindService, Type: TypeInteger, Unit: "bytes", Min: 0, Max: 64 << 20, Default: "1048576",
+		Key: "max_body", Kind: KindService, Type: TypeInteger, Unit: "bytes", Min: 0, Max: 64 << 20, Default: "67108864",
 		Doc: "Largest request body.",
 	},
 	{
-		Key: "queue_time", Kind: KindService, Type: TypeDuration, Min: 0.01, Max: 60, Default: "250ms",
-		Doc: "Longest time in which a guard's queue drains.",
-	},
-	{
-		Key: "progress_timeout", Kind: KindService, Type: TypeDuration, Min: 0.01, Max: 60, Default: "2s",
-		Doc: "Time without a byte on a connection with a call outstanding before the connection is probed.",
+		Key: "queue_time", Kind: KindService, Type: TypeDuration, Min: 0.01, Max: 60, Default: "10s",
+		Doc: "Longest time that a request waits for a slot. Its aim bounds the wait as well.",
 	},
 }
 
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -41,7 +41,7 @@
 		bounds := n.settings.Bounds
 		nodes := max(len(*n.knowledge.members.Load()), 1)
 		r = retry.NewRatio(retry.RatioConfig{
-			Fraction: budgetPart * bounds.RetryRatio,
+			Fraction: min(budgetPart*bounds.RetryRatio, n.knowledge.catalog.Load().Service(service).RetryRatio),
 			Floor:    int(budgetPart * bounds.RetryExtra / float64(nodes)),
 			Window:   bounds.RetryWindow,
 		}, time.Now())
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -19,11 +19,15 @@
 	}
 }
 
-// serveReady tells whether callers should be sent here: not while the node stops,
+// ready tells whether callers should be sent here: not while the node stops,
 // knows no configuration, or has not heard of the store for so long that it will
 // soon refuse requests with keys.
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.knowledge.catalog.Load() != nil && n.knowledge.age() <= readyAge
+}
+
 func (n *Node) serveReady(w http.ResponseWriter) {
-	if n.stopping.Load() || n.knowledge.catalog.Load() == nil || n.knowledge.age() > readyAge {
+	if !n.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -60,7 +60,8 @@
 	if refused != nil {
 		return refused
 	}
-	body, err := hop.ReadBody(r, 0)
+	service := n.places.service(route)
+	body, err := hop.ReadBody(r, cat.Service(service).MaxBody)
 	if err != nil {
 		if errors.Is(err, hop.ErrBodyTooLarge) {
 			return hop.Refused(request.ReasonBodyTooLarge, 0)
@@ -68,6 +69,7 @@
 		return hop.Refused(request.ReasonBadRequest, 0)
 	}
 	c := n.call(cat, r, h, route, ws, arrived, body)
+	c.Service = service
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline.Add(wayBack/2))
 	defer cancel()
 	if c.Workspace == "" {
@@ -76,7 +78,7 @@
 	if !n.takes() {
 		return hop.Refused(request.ReasonDraining, shortReturn)
 	}
-	if refusal, ok := n.behind.admit(c, ws.Rate); !ok {
+	if refusal, ok := n.behind.admit(c, ws.Weight); !ok {
 		return &hop.Answer{Refusal: &refusal}
 	}
 	if !n.tokens.take(ctx, c.Workspace) {
@@ -121,6 +123,9 @@
 	if cat.NeedsKey(route) && !known {
 		return nil, nil, unsure(request.ReasonUnknownKey)
 	}
+	if !route.Allows(ws) {
+		return nil, nil, unsure(request.ReasonRouteForbidden)
+	}
 	if ws != nil && !n.knowledge.keysHold() {
 		return nil, nil, hop.Refused(request.ReasonNodeStale, shortReturn)
 	}
@@ -130,7 +135,7 @@
 func (n *Node) call(cat *catalog.Catalog, r *http.Request, h platform.RequestHeader, route *catalog.Route, ws *catalog.Workspace, arrived time.Time, body hop.Body) *hop.Call {
 	c := &hop.Call{
 		ID: h.ID, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: hop.EndToEnd(r.Header), Body: body,
-		Route: route.Name, Service: n.places.service(route), Caller: n.settings.Service,
+		Route: route.Name, Caller: n.settings.Service,
 		Importance: cat.Importance(route, ws), Idempotent: route.Idempotent,
 		Arrived: arrived, Deadline: arrived.Add(route.Wait(h.Deadline, defaultWait) - wayBack), Aim: route.Aim,
 	}
@@ -176,6 +181,8 @@
 		return http.StatusNotFound
 	case request.ReasonUnknownKey:
 		return http.StatusUnauthorized
+	case request.ReasonRouteForbidden:
+		return http.StatusForbidden
 	case request.ReasonOverShare:
 		return http.StatusTooManyRequests
 	case request.ReasonBadRequest:
--- a/internal/sidecar/knowledge.go
+++ b/internal/sidecar/knowledge.go
@@ -12,6 +12,8 @@
 	"github.com/teaselseam/teaselseam/internal/catalog"
 	"github.com/teaselseam/teaselseam/internal/clock"
 	"github.com/teaselseam/teaselseam/internal/fleet"
+	"github.com/teaselseam/teaselseam/internal/operator"
+	"github.com/teaselseam/teaselseam/internal/settings"
 	"github.com/teaselseam/teaselseam/internal/share"
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -52,6 +54,9 @@
 	n   *Node
 	log *slog.Logger
 
+	configuration *platform.Configuration // newest; owned by runConfiguration
+	tree          *settings.Tree          // owned by runConfiguration; nil if there is none
+
 	catalog   atomic.Pointer[catalog.Catalog]
 	confirmed atomic.Int64 // time since boot at which the newest confirming call was sent
 	view      *fleet.View  // owned by runFleet
@@ -87,26 +92,48 @@
 	wait := time.Duration(confirmPart * float64(k.n.settings.Bounds.Revoke))
 	return k.follow(ctx, platform.ConfigurationTable, wait, func(rows []platform.Row, _ bool, sent time.Duration) {
 		for _, r := range rows {
-			if r.Key == platform.ConfigurationKey && !r.Deleted {
-				k.takeConfiguration(r.Value)
+			if !r.Deleted {
+				k.takeRow(r)
 			}
 		}
+		if len(rows) > 0 {
+			k.publishCatalog()
+		}
 		k.confirmed.Store(int64(sent))
 	})
 }
 
-func (k *knowledge) takeConfiguration(value []byte) {
-	c, err := platform.ParseConfiguration(value)
-	if err != nil {
-		k.log.Error("configuration cannot be read; the previous one stays in force", "event", "configuration", "err", err)
-		return
+// takeRow keeps a row of the operator if it can be read.
+func (k *knowledge) takeRow(r platform.Row) {
+	switch r.Key {
+	case platform.ConfigurationKey:
+		c, err := platform.ParseConfiguration(r.Value)
+		if err != nil {
+			k.log.Error("configuration cannot be read; the previous one stays in force", "event", "configuration", "err", err)
+			return
+		}
+		if k.configuration == nil || c.Version > k.configuration.Version {
+			k.configuration = c
+		}
+	case operator.TreeKey:
+		tree, err := settings.Parse(r.Key, r.Value)
+		if err != nil {
+			k.log.Error("settings tree cannot be read; the previous one stays in force", "event", "configuration", "err", err)
+			return
+		}
+		k.tree = tree
 	}
-	next, old := catalog.New(c), k.catalog.Load()
-	if !next.Newer(old) {
+}
+
+// publishCatalog puts the newest rows into force.
+func (k *knowledge) publishCatalog() {
+	if k.configuration == nil {
 		return
 	}
+	next := catalog.New(k.configuration, k.tree)
 	k.catalog.Store(next)
 	k.n.applyLimits()
+	k.n.guard.line.setMaxWait(next.Service(k.n.settings.Service).QueueTime)
 	k.log.Info("configuration is in force", "event", "configuration", "version", next.Version,
 		"routes", len(next.Routes()), "workspaces", len(next.Workspaces()))
 }
--- a/internal/sidecar/line.go
+++ b/internal/sidecar/line.go
@@ -120,6 +120,12 @@
 	signal(l.queue.Next(time.Now()), true)
 }
 
+func (l *line) setMaxWait(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue.SetMaxWait(d)
+}
+
 // load returns the figures that ride on the answer to a call of the route: those
 // of the line in which it waits.
 func (l *line) load(route string, inner bool) *pressure.Load {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -125,7 +125,7 @@
 		{"peers", n.settings.PeerAddress, peers},
 		{"announcements", n.settings.AnnounceAddress, control},
 		{"ready", n.settings.ReadyAddress, control},
-		{"metrics", n.metricsAddress(), obs.MetricsHandler(n.metrics.Set())},
+		{"metrics", n.metricsAddress(), n.observe()},
 	} {
 		l, err := lc.Listen(context.Background(), "tcp", x.address)
 		if err != nil {
