--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: dev build test fmt lint race bench measure capacity generate
+.PHONY: dev build test fmt lint race bench measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -25,8 +25,3 @@
 measure:
 	go run ./cmd/measure
 
-generate:
-	go generate ./...
-
-capacity: build
-	go run ./cmd/capacity
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -113,8 +113,7 @@
 }
 
 func (g *guard) admit(ctx context.Context, c *hop.Call) *hop.Answer {
-	addr, a := g.address(c)
-	if a != nil {
+	if _, a := g.address(c); a != nil {
 		return a
 	}
 	finish, refusal := g.n.crashes.start(c)
@@ -129,7 +128,8 @@
 		return &hop.Answer{Refusal: refusal, Elsewhere: true}
 	}
 	// The backend server may have left while the call waited.
-	if addr, a = g.address(c); a != nil {
+	addr, a := g.address(c)
+	if a != nil {
 		finish(false)
 		leave(dispatch.Broken)
 		return a
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -61,8 +61,8 @@
 			acknowledged, version = own.member, own.version
 		}
 		want := m.wanted()
-		if acknowledged == nil || !sameRow(*acknowledged, want) {
-			v, err := m.write(ctx, want, version, acknowledged == nil)
+		if acknowledged == nil || *acknowledged != want {
+			v, err := m.write(ctx, want, version)
 			if err == nil {
 				acknowledged, version, failures = &want, v, 0
 				m.publish(want)
@@ -89,8 +89,6 @@
 	}
 }
 
-func sameRow(a, b fleet.Member) bool { return a == b }
-
 // restore takes over what an earlier process of the node knew of the backend
 // server: that it leaves, or which one it is until it announces itself again.
 func (m *memberRow) restore() {
@@ -109,7 +107,7 @@
 }
 
 // write returns the new version of the row, or with ErrConflict its present one.
-func (m *memberRow) write(ctx context.Context, row fleet.Member, version uint64, _ bool) (uint64, error) {
+func (m *memberRow) write(ctx context.Context, row fleet.Member, version uint64) (uint64, error) {
 	value, err := row.Encode()
 	if err != nil {
 		return 0, err
@@ -148,7 +146,7 @@
 	for {
 		select {
 		case row := <-m.written:
-			if sameRow(row, m.wanted()) {
+			if row == m.wanted() {
 				return
 			}
 		case <-t.C:
--- a/internal/sidecar/places.go
+++ b/internal/sidecar/places.go
@@ -43,7 +43,6 @@
 	pickers map[string]*routing.Picker
 	targets map[string]string    // ID of the backend server by endpoint
 	since   map[string]time.Time // when a backend server was first seen
-	first   bool
 }
 
 func newPlaces(s *platform.Settings, local func(context.Context, *hop.Call) *hop.Answer, peers *hop.Pool) *places {
