Add a fault soak of the real programs

Nodes run as processes; the stand-ins of the store and of backend servers run in the soak behind loopback proxies. Signals, link faults, store faults and planned work overlap, drawn from a seed. Checks use only what callers and backend servers saw.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,76 @@
+// Command soak runs real nodes under faults and checks what callers and backend
+// servers see. See package soak.
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/teaselseam/teaselseam/internal/soak"
+)
+
+type cli struct {
+	Daemon  string        `help:"Path of teaselseamd." default:"bin/teaselseamd"`
+	Seed    uint64        `help:"First seed; 0 draws one."`
+	Runs    int           `help:"Number of runs, each with the next seed." default:"1"`
+	Nodes   int           `help:"Nodes; each is a process." default:"6"`
+	Faults  time.Duration `help:"How long faults come." default:"20s"`
+	At      int           `help:"Faults at the same time." name:"at-once" default:"2"`
+	Planned bool          `help:"Planned work alone."`
+	Verbose bool          `help:"Print each fault."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("soak"), kong.Description("Run real nodes under faults and check what callers and backend servers see."))
+	k.FatalIfErrorf(c.run())
+}
+
+func (c *cli) run() error {
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64() >> 32
+	}
+	failed := 0
+	for i := range c.Runs {
+		seed := c.Seed + uint64(i)
+		dir := filepath.Join(os.TempDir(), fmt.Sprintf("teaselseam-soak-%d", seed))
+		findings, err := soak.Run(soak.Config{
+			Daemon: c.Daemon, Seed: seed, Nodes: c.Nodes, Faults: c.Faults, Parallel: c.At, Dir: dir, Planned: c.Planned,
+			Log: c.log,
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("seed %d: %d findings\n", seed, len(findings))
+		for j, f := range findings {
+			if j == 10 {
+				fmt.Printf("  and %d more\n", len(findings)-j)
+				break
+			}
+			fmt.Println(" ", f)
+		}
+		if len(findings) > 0 {
+			failed++
+			fmt.Println("  logs are kept in", dir)
+			continue
+		}
+		if err := os.RemoveAll(dir); err != nil {
+			return err
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%d of %d runs have findings", failed, c.Runs)
+	}
+	return nil
+}
+
+func (c *cli) log(format string, args ...any) {
+	if c.Verbose {
+		fmt.Printf("%s "+format+"\n", append([]any{time.Now().Format("15:04:05.000")}, args...)...)
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -29,7 +29,7 @@
 			want := standin.Run{
 				ID: id, Method: http.MethodPost, URI: "/" + to.settings.Service + "/order/x?y=1", Body: "three strips",
 				Host: "shop.example", Workspace: "guild", Caller: from.settings.Service, Target: "i-" + to.settings.Node,
-				Deadline: got.Deadline, Done: true,
+				Deadline: got.Deadline, Started: got.Started, Done: true,
 			}
 			if got != want {
 				t.Errorf("ran as %+v, want %+v", got, want)
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -19,6 +19,8 @@
 	Service  string
 	Address  string // IP:port to listen on
 	Announce string // IP:port of the node beside it
+	// Listen is where it listens if a proxy stands at Address.
+	Listen   string
 	Slots    int
 	Queue    int
 	Interval time.Duration // between announcements
@@ -31,6 +33,7 @@
 	ID, Method, URI, Body             string
 	Workspace, Caller, Authorization  string
 	Deadline                          time.Duration
+	Started                           time.Time
 	Done                              bool // it was not cancelled
 	Host, Target, ContentType, Cookie string
 }
@@ -98,7 +101,11 @@
 
 // Serve listens and announces until ctx ends.
 func (b *Backend) Serve(ctx context.Context) error {
-	l, err := net.Listen("tcp", b.cfg.Address)
+	listen := b.cfg.Address
+	if b.cfg.Listen != "" {
+		listen = b.cfg.Listen
+	}
+	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		return err
 	}
@@ -238,6 +245,7 @@
 	run := Run{
 		ID: r.Header.Get("Request-Id"), Method: r.Method, URI: r.RequestURI, Body: string(body), Host: r.Host,
 		Workspace: r.Header.Get("Tenant"), Caller: r.Header.Get("Caller-Service"), Target: r.Header.Get("Target-Instance"),
+		Started:       time.Now(),
 		Authorization: r.Header.Get("Authorization"), Deadline: time.Duration(ms) * time.Millisecond,
 	}
 	b.mu.Lock()
