Keep connections while a node stops; count knowledge from the end of a wait

Cause: SetKeepAlivesEnabled closes connections whose request is read but not yet counted as active. Ruled out: the end of the process.

Knowledge: the age of the configuration was counted from the sending of a watch that lasts 1.5 s, so it rose to 3 s between two answers, and a node was now and then not ready or not sure of a 404. An answer without a change was given at the end of the wait. Keys now end after 3.8 s instead of 4.8 s, because the store may hold back changes for a second. Changes of the fleet are collected for 0.25 s.

--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -93,6 +93,9 @@
 		hop.WriteToNode(w, hop.Refused(request.ReasonBadRequest, 0))
 		return
 	}
+	if g.n.stopping.Load() {
+		w.Header()["Connection"] = []string{"close"}
+	}
 	hop.WriteToNode(w, g.handle(r.Context(), c))
 }
 
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -34,6 +34,9 @@
 	n.active.Add(1)
 	defer n.active.Add(-1)
 	h := platform.ReadRequestHeader(r.Header)
+	if n.stopping.Load() {
+		w.Header()["Connection"] = []string{"close"}
+	}
 	a := n.answer(r, h, arrived)
 	defer a.Close()
 	if r.Context().Err() != nil && a.Refusal != nil {
@@ -49,6 +52,9 @@
 
 // answer decides on a request and runs it.
 func (n *Node) answer(r *http.Request, h platform.RequestHeader, arrived time.Time) *hop.Answer {
+	if n.closing.Load() {
+		return hop.Refused(request.ReasonDraining, shortReturn)
+	}
 	if n.active.Load() > maxActive {
 		return hop.Refused(request.ReasonOverload, shortReturn)
 	}
--- a/internal/sidecar/knowledge.go
+++ b/internal/sidecar/knowledge.go
@@ -20,8 +20,14 @@
 
 const (
 	// confirmPart of the bound on withdrawn keys is how long the store may hold
-	// back an answer that nothing has changed. Two lost answers fit in the rest.
-	confirmPart = 0.3
+	// back an answer that nothing has changed. A lost answer fits in the rest.
+	confirmPart = 0.4
+	// confirmSoon is the same after a change. What arrived with it was true at some
+	// time since the call was sent, and a short call tells that it is the newest.
+	confirmSoon = 300 * time.Millisecond
+	// fleetPause collects changes of the fleet, so that the start of n nodes does
+	// not make each of them call the store n times.
+	fleetPause = 250 * time.Millisecond
 	// fleetWait is the same for the table of members. It proves nothing, so it is
 	// as long as a silent connection may go unnoticed.
 	fleetWait = 10 * time.Second
@@ -32,8 +38,12 @@
 	// Pause after a failed call, doubled with each failure.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
-	// keyMargin is taken off the bound on withdrawn keys.
-	keyMargin = 200 * time.Millisecond
+	// keyMargin is taken off the bound on withdrawn keys: a second for which the
+	// store may hold back changes from watches before it drops its history, and the
+	// rest for rounding.
+	keyMargin = 1200 * time.Millisecond
+	// waitSlack is how much earlier than asked for the store may end a wait.
+	waitSlack = 50 * time.Millisecond
 	// sureAge is the age up to which the node is sure that a route or key does not
 	// exist. Beyond it, a newer configuration may have it.
 	sureAge = 2500 * time.Millisecond
@@ -90,19 +100,33 @@
 // runConfiguration follows the operator's configuration.
 func (k *knowledge) runConfiguration(ctx context.Context) error {
 	wait := time.Duration(confirmPart * float64(k.n.settings.Bounds.Revoke))
-	return k.follow(ctx, platform.ConfigurationTable, wait, func(rows []platform.Row, _ bool, sent time.Duration) {
-		for _, r := range rows {
-			if !r.Deleted {
-				k.takeRow(r)
+	return k.follow(ctx, table{
+		name: platform.ConfigurationTable, wait: wait, waitAfterChange: confirmSoon,
+		take: func(u update) {
+			for _, r := range u.rows {
+				if !r.Deleted {
+					k.takeRow(r)
+				}
 			}
-		}
-		if len(rows) > 0 {
-			k.publishCatalog()
-		}
-		k.confirmed.Store(int64(sent))
+			if len(u.rows) > 0 {
+				k.publishCatalog()
+			}
+			k.confirmed.Store(int64(u.confirms()))
+		},
 	})
 }
 
+// confirms returns the time since boot as of which the update is known to be the
+// newest state. An answer without a change was given at the end of the wait. An
+// answer with a change was given at some time after the call was sent; it may have
+// been held up on its way.
+func (u *update) confirms() time.Duration {
+	if len(u.rows) > 0 || u.all {
+		return u.sent
+	}
+	return u.sent + max(min(u.took, u.wait)-waitSlack, 0)
+}
+
 // takeRow keeps a row of the operator if it can be read.
 func (k *knowledge) takeRow(r platform.Row) {
 	switch r.Key {
@@ -141,30 +165,37 @@
 // runFleet follows the table of members.
 func (k *knowledge) runFleet(ctx context.Context) error {
 	first := true
-	return k.follow(ctx, fleet.Table, fleetWait, func(rows []platform.Row, all bool, _ time.Duration) {
-		members, deaths := splitRows(rows)
-		var bad []error
-		if all {
-			bad = k.view.Replace(members)
-		} else {
-			bad = k.view.Apply(members)
-		}
-		for _, err := range bad {
-			k.log.Warn("row names no member", "event", "fleet", "err", err)
-		}
-		for _, d := range deaths {
-			k.n.crashes.receive(d.Value)
-		}
-		if len(members) > 0 || all {
-			k.publishFleet(first)
-		}
-		if first {
-			first = false
-			close(k.fleetSeen)
-		}
+	return k.follow(ctx, table{
+		name: fleet.Table, wait: fleetWait, waitAfterChange: fleetWait, pauseAfterChange: fleetPause,
+		take: func(u update) {
+			k.takeFleet(u, first)
+			if first {
+				first = false
+				close(k.fleetSeen)
+			}
+		},
 	})
 }
 
+func (k *knowledge) takeFleet(u update, first bool) {
+	members, deaths := splitRows(u.rows)
+	var bad []error
+	if u.all {
+		bad = k.view.Replace(members)
+	} else {
+		bad = k.view.Apply(members)
+	}
+	for _, err := range bad {
+		k.log.Warn("row names no member", "event", "fleet", "err", err)
+	}
+	for _, d := range deaths {
+		k.n.crashes.receive(d.Value)
+	}
+	if len(members) > 0 || u.all {
+		k.publishFleet(first)
+	}
+}
+
 // splitRows separates the rows of members, whose key becomes the node's name,
 // from records of crashes.
 func splitRows(rows []platform.Row) (members, deaths []platform.Row) {
@@ -190,38 +221,62 @@
 	k.log.Info("fleet changed", "event", "fleet", "members", len(members))
 }
 
-// follow reads a table and then its changes. take gets the rows, whether they are
-// all rows of the table, and the time since boot at which the call was sent.
-func (k *knowledge) follow(ctx context.Context, table string, wait time.Duration, take func([]platform.Row, bool, time.Duration)) error {
+// table is a table of the store that the node follows.
+type table struct {
+	name            string
+	wait            time.Duration // longest wait for a change
+	waitAfterChange time.Duration // the same for the call after a change
+	// pauseAfterChange is the time between a change and the next call.
+	pauseAfterChange time.Duration
+	take             func(update)
+}
+
+// update is an answer of the store about a table.
+type update struct {
+	rows []platform.Row
+	all  bool          // rows are all rows of the table, not only those that changed
+	sent time.Duration // time since boot at which the call was sent
+	took time.Duration
+	wait time.Duration // that was asked for
+}
+
+// follow reads a table and then its changes.
+func (k *knowledge) follow(ctx context.Context, t table) error {
 	var version uint64
 	read := false
 	failures := 0
+	wait := t.wait
 	for ctx.Err() == nil {
-		sent := clock.SinceBoot()
-		rows, err := k.next(ctx, table, version, read, wait)
+		u := update{all: !read, sent: clock.SinceBoot(), wait: wait}
+		changes, err := k.next(ctx, t.name, version, read, wait)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
 			failures++
-			read = read && !errors.Is(err, platform.ErrHistoryLost)
-			k.failed(table, failures, err)
-			if read || !errors.Is(err, platform.ErrHistoryLost) {
+			lost := errors.Is(err, platform.ErrHistoryLost)
+			k.failed(t.name, failures, err)
+			if read = read && !lost; !lost {
 				pause(ctx, failures)
 			}
 			continue
 		}
 		if failures > 0 {
-			k.log.Info("store answers again", "event", "store", "table", table, "failures", failures)
+			k.log.Info("store answers again", "event", "store", "table", t.name, "failures", failures)
 			failures = 0
 		}
-		take(rows.Rows, !read, sent)
-		version, read = rows.Version, true
+		u.rows, u.took = changes.Rows, clock.SinceBoot()-u.sent
+		t.take(u)
+		version, read, wait = changes.Version, true, t.wait
+		if len(u.rows) > 0 {
+			wait = t.waitAfterChange
+			sleep(ctx, t.pauseAfterChange)
+		}
 	}
 	return nil
 }
 
-func (k *knowledge) next(ctx context.Context, table string, version uint64, read bool, wait time.Duration) (platform.Changes, error) {
+func (k *knowledge) next(ctx context.Context, name string, version uint64, read bool, wait time.Duration) (platform.Changes, error) {
 	timeout := readTimeout
 	if read {
 		timeout = wait + answerSlack
@@ -229,9 +284,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !read {
-		return k.n.store.Read(ctx, table, "")
+		return k.n.store.Read(ctx, name, "")
 	}
-	return k.n.store.Watch(ctx, table, version, wait)
+	return k.n.store.Watch(ctx, name, version, wait)
 }
 
 func (k *knowledge) failed(table string, failures int, err error) {
@@ -248,7 +303,14 @@
 // store together.
 func pause(ctx context.Context, failures int) {
 	d := min(minBackoff<<min(failures-1, 8), maxBackoff)
-	d += time.Duration(rand.Float64() * float64(d))
+	sleep(ctx, d+time.Duration(rand.Float64()*float64(d)))
+}
+
+// sleep waits unless ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -75,6 +75,7 @@
 
 	began     time.Time
 	stopping  atomic.Bool
+	closing   atomic.Bool  // no request is passed on any more
 	takeUntil atomic.Int64 // time since began until which a stopping node takes requests
 	active    atomic.Int64 // requests of callers being served
 	servers   []*server
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -22,6 +22,10 @@
 	closeAfter = 100 * time.Millisecond
 )
 
+// Connections are kept while the node stops, and each answer on them says that it is
+// the last. Closing idle ones at once, as http.Server.SetKeepAlivesEnabled does, cut
+// off a request that had just been read and was passed on.
+
 // takes tells whether the node still takes requests of callers.
 func (n *Node) takes() bool {
 	return !n.stopping.Load() || int64(time.Since(n.began)) < n.takeUntil.Load()
@@ -35,9 +39,6 @@
 	n.stopping.Store(true)
 	n.takeUntil.Store(int64(began.Sub(n.began) + time.Duration(takePart*float64(n.settings.Bounds.StopGrace))))
 	n.log.Info("node is stopping", "event", "stopping", "active", n.active.Load())
-	for _, s := range n.servers {
-		s.SetKeepAlivesEnabled(s.name != "callers" && s.name != "peers")
-	}
 	n.member.changed()
 	end := began.Add(n.settings.Bounds.StopGrace - endMargin)
 	idleSince := began
@@ -50,6 +51,7 @@
 		}
 		time.Sleep(stopPoll)
 	}
+	n.closing.Store(true)
 	n.log.Info("node closes its listeners", "event", "closing", "active", n.active.Load(),
 		"after", time.Since(began))
 	ctx, cancel := context.WithTimeout(context.Background(), closeAfter)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -85,6 +85,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults = f
+	close(s.changed) // calls that wait for a change see the fault too
+	s.changed = make(chan struct{})
 }
 
 // ForgetHistory drops the changes up to now, as the store may at any time.
@@ -263,6 +265,10 @@
 	defer cancel()
 	for {
 		rows, version, lost, changed := s.since(q.Get("table"), after)
+		if s.down() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if lost {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -278,6 +284,12 @@
 	}
 }
 
+func (s *Store) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Down
+}
+
 func (s *Store) since(table string, after uint64) (rows []wireRow, version uint64, lost bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
