Do not lower the limit when a backend server sheds with free slots; offer shed requests elsewhere more often

The limit fell to half, and calls were refused at the guard although slots were free. A shed request was offered to one other backend server at most and drew on the same budget as repeats of runs, which multiply by the calls that they make again. The backend server's own load report now tells whether it was full.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,11 +29,12 @@
 // # Slots
 //
 // A backend server is slower when nearly all of its slots are taken, so a
-// twentieth is left free. One that sheds requests below that number may have
-// fewer slots than it says: the limit then falls below what was running and
-// recovers by one for each round of completed requests. It never falls below half,
-// because a faulty backend server sheds whatever its load: without that bound the
-// limit fell to one for seconds.
+// twentieth is left free. One that sheds requests below that number and reports
+// itself full has fewer slots than it says: the limit then falls below what was
+// running and recovers by one for each round of completed requests. It never falls
+// below half. A faulty backend server sheds whatever its load, and a lower limit
+// would only waste the slots that it has: without this rule the limit fell to one
+// for seconds.
 package dispatch
 
 import (
@@ -103,8 +104,8 @@
 // Results.
 const (
 	Served Result = iota // the backend server answered
-	Shed                 // it refused the request itself
-	Broken               // no answer; the time says nothing
+	Full                 // it refused the request itself and reports that it is full
+	Broken               // no answer, or a refusal of another kind; the time says nothing
 )
 
 // Queue holds the requests of one backend server. It is not safe for concurrent
@@ -282,7 +283,7 @@
 	case Served:
 		q.learn(t.Route, now.Sub(t.started))
 		q.limit = min(q.limit+1/max(q.limit, 1), q.most())
-	case Shed:
+	case Full:
 		q.limit = max(min(q.limit, float64(q.running)), leastPart*q.most(), 1)
 	}
 	return q.Next(now)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -68,7 +68,7 @@
 }
 
 // TestShedKeepsHalf guards against a limit that falls to one because a faulty
-// backend server sheds whatever its load.
+// backend server sheds whatever its load and calls itself full.
 func TestShedKeepsHalf(t *testing.T) {
 	now := time.Unix(0, 0)
 	q := newQueue(16)
@@ -77,7 +77,7 @@
 		if v != Run {
 			t.Fatalf("verdict %d with nothing running", v)
 		}
-		q.Finish(now, ticket, Shed)
+		q.Finish(now, ticket, Full)
 	}
 	if got := q.Load().Limit; got < 7 {
 		t.Errorf("limit is %d of 15", got)
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -24,6 +24,7 @@
 
 	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/platform"
 )
 
 // MaxBuffered is the size up to which bodies are held whole, in bytes. The
@@ -82,7 +83,9 @@
 
 	Load  *pressure.Load  // load of the answering guard; nil if it reports none
 	Hints []pressure.Hint // tight services behind the backend server
-	Retry time.Duration   // when the backend server asks a refused caller to return
+	// Reported is the load that the backend server tells with its answer; nil if it
+	// tells none. It does not travel between nodes.
+	Reported *platform.Load
 }
 
 // Close releases the connection of an answer that was not read to its end.
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -54,14 +54,14 @@
 			reason = request.ReasonNoBackend
 		}
 		refused := Refused(reason, 0)
-		refused.Arrived, refused.Elsewhere = true, true
+		refused.Arrived, refused.Elsewhere, refused.Reported = true, true, rh.Load
 		return refused, nil
 	}
 	if e := checkAnswer(c, a, &rh); e != nil {
 		a.Close()
 		return nil, &Error{Sent: true, Err: e}
 	}
-	a.Arrived = true
+	a.Arrived, a.Reported = true, rh.Load
 	return a, nil
 }
 
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -20,32 +20,45 @@
 	maxPlaces = 4
 	// maxFull bounds the nodes that refuse because they are full.
 	maxFull = 2
-	// budgetPart of the retries that users allow is used. Calls made by a repeated
-	// run count as repeats too, at each service behind it: at a part of 0.5,
+	// repeatPart of the retries that users allow is used after a run. Calls made by a
+	// repeated run count as repeats too, at each service behind it: at a part of 0.5,
 	// forgedesk, which lies behind two services, got 2288 of 2235 allowed.
-	budgetPart = 0.25
+	repeatPart = 0.2
+	// offerPart is used for requests that a backend server has refused as not run. No
+	// call was made for them yet.
+	offerPart = 0.3
 )
 
+// budget is a kind of retries to a service.
+type budget struct {
+	service string
+	ran     bool // after a run; else after a refusal of a backend server
+}
+
 // budgets bounds the retries to each service. It is safe for concurrent use.
 type budgets struct {
 	mu     sync.Mutex
-	ratios map[string]*retry.Ratio
+	ratios map[budget]*retry.Ratio
 }
 
-func (b *budgets) ratio(n *Node, service string) *retry.Ratio {
+func (b *budgets) ratio(n *Node, k budget) *retry.Ratio {
 	if b.ratios == nil {
-		b.ratios = map[string]*retry.Ratio{}
+		b.ratios = map[budget]*retry.Ratio{}
 	}
-	r := b.ratios[service]
+	r := b.ratios[k]
 	if r == nil {
+		part := offerPart
+		if k.ran {
+			part = repeatPart
+		}
 		bounds := n.settings.Bounds
 		nodes := max(len(*n.knowledge.members.Load()), 1)
 		r = retry.NewRatio(retry.RatioConfig{
-			Fraction: min(budgetPart*bounds.RetryRatio, n.knowledge.catalog.Load().Service(service).RetryRatio),
-			Floor:    int(budgetPart * bounds.RetryExtra / float64(nodes)),
+			Fraction: min(part*bounds.RetryRatio, n.knowledge.catalog.Load().Service(k.service).RetryRatio),
+			Floor:    int(part * bounds.RetryExtra / float64(nodes)),
 			Window:   bounds.RetryWindow,
 		}, time.Now())
-		b.ratios[service] = r
+		b.ratios[k] = r
 	}
 	return r
 }
@@ -53,13 +66,33 @@
 func (b *budgets) first(n *Node, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio(n, service).First(time.Now())
+	now := time.Now()
+	b.ratio(n, budget{service, true}).First(now)
+	b.ratio(n, budget{service, false}).First(now)
 }
 
-func (b *budgets) take(n *Node, service string) bool {
+func (b *budgets) take(n *Node, k budget) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.ratio(n, service).Take(time.Now())
+	return b.ratio(n, k).Take(time.Now())
+}
+
+// progress is what has become of a call so far.
+type progress struct {
+	arrivals int // backend servers that got it
+	runs     int // those that ran it, or may have
+	full     int // nodes that had no room for it
+}
+
+func (p *progress) note(a *hop.Answer) {
+	if a.Arrived {
+		p.arrivals++
+		if a.Refusal == nil || a.Refusal.Outcome != request.NotRun {
+			p.runs++
+		}
+	} else if a.Refusal != nil && a.Refusal.Reason == request.ReasonOverload {
+		p.full++
+	}
 }
 
 // attempts offers a call to backend servers until one has answered or no further
@@ -68,7 +101,7 @@
 	n.budgets.first(n, c.Service)
 	var tried []string
 	var last *hop.Answer
-	arrivals, full := 0, 0
+	var p progress
 	for len(tried) < maxPlaces {
 		at, ok := n.places.pick(c.Service, tried)
 		if !ok {
@@ -76,14 +109,9 @@
 		}
 		tried = append(tried, at.id)
 		last.Close()
-		last = n.try(ctx, at, c, arrivals > 0)
-		if last.Arrived {
-			arrivals++
-		}
-		if last.Refusal != nil && last.Refusal.Reason == request.ReasonOverload {
-			full++
-		}
-		if !n.again(ctx, c, route, last, arrivals, full) {
+		last = n.try(ctx, at, c, p.arrivals > 0)
+		p.note(last)
+		if !n.again(ctx, c, route, last, p) {
 			break
 		}
 	}
@@ -98,13 +126,13 @@
 }
 
 // again decides whether another backend server may get the call.
-func (n *Node) again(ctx context.Context, c *hop.Call, route *catalog.Route, a *hop.Answer, arrivals, full int) bool {
+func (n *Node) again(ctx context.Context, c *hop.Call, route *catalog.Route, a *hop.Answer, p progress) bool {
 	outcome := request.Completed
 	if a.Refusal != nil {
 		outcome = a.Refusal.Outcome
 	}
 	switch {
-	case ctx.Err() != nil, !time.Now().Before(c.Deadline), arrivals >= route.MaxAttempts:
+	case ctx.Err() != nil, !time.Now().Before(c.Deadline), p.runs >= route.MaxAttempts:
 		return false
 	case !c.Body.Repeatable() && (a.Arrived || outcome != request.NotRun):
 		return false
@@ -112,12 +140,12 @@
 		return false
 	case outcome == request.Completed && (a.Downstream || a.Status == http.StatusGatewayTimeout):
 		return false
-	case outcome == request.NotRun && !a.Elsewhere, full >= maxFull:
+	case outcome == request.NotRun && !a.Elsewhere, p.full >= maxFull:
 		return false
 	case outcome != request.Completed && !retry.MayRetry(outcome, c.Idempotent):
 		return false
 	}
-	return arrivals == 0 || n.budgets.take(n, c.Service)
+	return p.arrivals == 0 || n.budgets.take(n, budget{c.Service, p.runs > 0})
 }
 
 // try offers the call to one place.
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -188,12 +188,18 @@
 	switch {
 	case err != nil:
 		return g.failed(ended, addr, c, err), dispatch.Broken
+	case a.Refusal != nil && full(a.Reported):
+		return a, dispatch.Full
 	case a.Refusal != nil:
-		return a, dispatch.Shed
+		return a, dispatch.Broken
 	}
 	return a, dispatch.Served
 }
 
+// full tells whether a backend server that refused a request had no slot for it. One
+// that tells no load is believed.
+func full(l *platform.Load) bool { return l == nil || l.Waiting > 0 || l.Running >= l.Slots }
+
 // failed turns the failure of an exchange into an answer. ended tells whether the
 // deadline has passed or the caller has left.
 func (g *guard) failed(ended bool, addr string, c *hop.Call, err *hop.Error) *hop.Answer {
