Send requests that may not be repeated on connections used a moment ago; quieten the bank

TestForgottenConnection fails without the change. Connections used within 0.25 s are still shared.

Nodes handed tokens over four times a second although the bank was full. It now says so, and they pause for a second (TestQuietBank).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: dev build test fmt lint race bench measure
+.PHONY: dev build test fmt lint race bench measure soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -25,3 +25,6 @@
 measure:
 	go run ./cmd/measure
 
+# SOAK takes flags, for example SOAK="--seed 7 --runs 50 --faults 30s".
+soak: build
+	bin/soak $(SOAK)
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -96,11 +96,12 @@
 
 type conn struct {
 	net.Conn
-	r     *bufio.Reader
-	w     *bufio.Writer
-	raw   syscall.RawConn
-	until time.Time     // not used again after this
-	idle  time.Duration // after which the other side closes it; zero if it does not say
+	r      *bufio.Reader
+	w      *bufio.Writer
+	raw    syscall.RawConn
+	until  time.Time     // not used again after this
+	usedAt time.Time     // end of the last exchange
+	idle   time.Duration // after which the other side closes it; zero if it does not say
 }
 
 // exchange describes one request on a connection.
@@ -109,9 +110,15 @@
 	call    *Call
 	header  http.Header
 	checkID bool
-	fresh   bool // use no connection that has been idle
+	// newest uses only a connection that was in use a moment ago. The other side may
+	// have forgotten an older one, and then a request that may not be repeated fails.
+	newest bool
 }
 
+// momentIdle is how long ago a connection was used at most for a request that may
+// not be repeated.
+const momentIdle = 250 * time.Millisecond
+
 // do sends a request and returns the answer with its body, up to MaxBuffered.
 func (p *Pool) do(ctx context.Context, x exchange) (*Answer, *Error) {
 	c, err := p.get(ctx, x)
@@ -344,8 +351,8 @@
 
 func (p *Pool) get(ctx context.Context, x exchange) (*conn, error) {
 	now := time.Now()
-	for !x.fresh {
-		c := p.take(x.addr)
+	for {
+		c := p.take(x.addr, now, x.newest)
 		if c == nil {
 			break
 		}
@@ -378,14 +385,19 @@
 	c.SetDeadline(d)
 }
 
-func (p *Pool) take(addr string) *conn {
+// take returns the connection that was used last, which is the least likely to be
+// closed.
+func (p *Pool) take(addr string, now time.Time, newest bool) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1] // the newest is the least likely to be closed
+	c := list[len(list)-1]
+	if newest && now.Sub(c.usedAt) > momentIdle {
+		return nil
+	}
 	p.idle[addr] = list[:len(list)-1]
 	p.reused++
 	return c
@@ -396,7 +408,8 @@
 	if c.idle > 0 {
 		keep = min(keep, c.idle-idleMargin)
 	}
-	c.until = time.Now().Add(keep)
+	c.usedAt = time.Now()
+	c.until = c.usedAt.Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[addr] = append(p.idle[addr], c)
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,7 +84,7 @@
 	t.Helper()
 	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
 	defer cancel()
-	return p.ToBackend(ctx, addr, c, false)
+	return p.ToBackend(ctx, addr, c)
 }
 
 func newTestPool() *Pool { return NewPool(time.Second, time.Minute) }
@@ -330,7 +331,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	if _, err := newTestPool().ToBackend(ctx, s.addr, newCall("r1", ""), false); err == nil || !err.Sent {
+	if _, err := newTestPool().ToBackend(ctx, s.addr, newCall("r1", "")); err == nil || !err.Sent {
 		t.Fatalf("got %v", err)
 	}
 	select {
@@ -363,3 +364,28 @@
 		}
 	}
 }
+
+// TestForgottenConnection guards against failing a request that may not be repeated
+// because the backend server has forgotten an idle connection without a word: what is
+// sent on it next is reset.
+func TestForgottenConnection(t *testing.T) {
+	var used sync.Map
+	s := serve(t, func(c net.Conn, r *http.Request) bool {
+		if _, again := used.LoadOrStore(c, true); again {
+			c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		io.WriteString(c, answer(r.Header.Get("Request-Id"), "ok"))
+		return true
+	})
+	p := newTestPool()
+	for i := range 3 {
+		if a, err := toBackend(t, p, s.addr, newCall(fmt.Sprint("r", i), "x")); err != nil || string(a.Body) != "ok" {
+			t.Fatalf("request %d: %+v, %v", i, a, err)
+		}
+		time.Sleep(2 * momentIdle)
+	}
+	if n := s.conns.Load(); n != 3 {
+		t.Errorf("%d connections for 3 requests that may not be repeated", n)
+	}
+}
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -34,7 +34,7 @@
 // ToBackend sends a call to a backend server. A refusal that the backend server
 // states itself becomes one of the answer; any other answer must be whole, signed
 // if it is a success, and to this call.
-func (p *Pool) ToBackend(ctx context.Context, addr string, c *Call, fresh bool) (*Answer, *Error) {
+func (p *Pool) ToBackend(ctx context.Context, addr string, c *Call) (*Answer, *Error) {
 	h := make(http.Header, len(c.Header)+4)
 	for k, v := range c.Header {
 		h[k] = v
@@ -42,7 +42,7 @@
 	platform.SetForBackend(h, platform.ForBackend{
 		Remaining: time.Until(c.Deadline), Workspace: c.Workspace, Caller: c.Caller, Target: c.Target,
 	})
-	a, err := p.do(ctx, exchange{addr: addr, call: c, header: h, checkID: true, fresh: fresh})
+	a, err := p.do(ctx, exchange{addr: addr, call: c, header: h, checkID: true, newest: !c.Idempotent})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -45,6 +45,11 @@
 	demandSpan = time.Second
 	// dryPause is how long an account does not draw after the bank was empty.
 	dryPause = 100 * time.Millisecond
+	// fullPause is how long an account hands nothing over after the bank was full.
+	// Without it each node sends a message four times a second while nothing happens.
+	fullPause = time.Second
+	// fullPart of its capacity makes the bank call itself full.
+	fullPart = 0.9
 )
 
 // Limit is a workspace's rate and burst over all nodes.
@@ -64,7 +69,8 @@
 // Grant is one workspace's part of the bank's answer.
 type Grant struct {
 	Workspace string  `json:"w"`
-	Tokens    float64 `json:"t"`
+	Tokens    float64 `json:"t,omitempty"`
+	Full      bool    `json:"f,omitempty"` // the bank needs no deposits for now
 }
 
 // Accounts holds a node's tokens. It is not safe for concurrent use.
@@ -81,6 +87,7 @@
 	demandAt                    time.Time
 	wanted                      bool
 	dryUntil                    time.Time
+	fullUntil                   time.Time
 }
 
 // NewAccounts returns accounts that know no workspace.
@@ -174,7 +181,7 @@
 		if ac.wanted && !now.Before(ac.dryUntil) {
 			t.Draw = max(1, math.Ceil(ac.demandNow(now)*drawAhead.Seconds())) - max(ac.tokens, 0)
 			ac.wanted = false
-		} else if ac.overflow >= ac.overflowCap/3 && ac.overflow > 0 {
+		} else if ac.overflow >= ac.overflowCap/3 && ac.overflow > 0 && !now.Before(ac.fullUntil) {
 			t.Deposit, ac.overflow = ac.overflow, 0
 		}
 		if t.Deposit > 0 || t.Draw > 0 {
@@ -189,6 +196,9 @@
 	got := make(map[string]float64, len(grants))
 	for _, g := range grants {
 		got[g.Workspace] = g.Tokens
+		if ac := a.accounts[g.Workspace]; ac != nil && g.Full {
+			ac.fullUntil = now.Add(fullPause)
+		}
 	}
 	for _, t := range sent {
 		ac := a.accounts[t.Workspace]
@@ -273,12 +283,17 @@
 // Handle takes a node's message and returns the answer. Deposits are taken
 // first.
 func (b *Bank) Handle(ts []Transfer) []Grant {
+	var out []Grant
 	for _, t := range ts {
-		if t.Deposit > 0 {
-			b.tokens[t.Workspace] = min(b.tokens[t.Workspace]+t.Deposit, b.capacity[t.Workspace])
+		if t.Deposit <= 0 {
+			continue
+		}
+		capacity := b.capacity[t.Workspace]
+		b.tokens[t.Workspace] = min(b.tokens[t.Workspace]+t.Deposit, capacity)
+		if b.tokens[t.Workspace] >= fullPart*capacity {
+			out = append(out, Grant{Workspace: t.Workspace, Full: true})
 		}
 	}
-	var out []Grant
 	for _, t := range ts {
 		if t.Draw <= 0 {
 			continue
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -171,3 +171,22 @@
 		t.Errorf("%d requests in 5 s, allowed %d", got, allowed(lower))
 	}
 }
+
+// TestQuietBank guards against nodes that send messages while nothing happens.
+func TestQuietBank(t *testing.T) {
+	f := newFleet(16, Limit{workspace, 158, 158})
+	f.run(5*time.Second, 50, 16)
+	messages := 0
+	for range 40 { // 10 s
+		f.now = f.now.Add(250 * time.Millisecond)
+		for i := range f.nodes {
+			if sent := f.nodes[i].Collect(f.now); len(sent) > 0 {
+				messages++
+				f.nodes[i].Granted(f.now, sent, f.bank.Handle(sent))
+			}
+		}
+	}
+	if messages > 16*11 {
+		t.Errorf("%d messages in 10 s, want one a second and node", messages)
+	}
+}
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -22,7 +22,7 @@
 
 // cluster is a store, nodes and a backend server beside each of them.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	store    *standin.Store
 	address  string // of the store
 	nodes    []*testNode
@@ -73,7 +73,7 @@
 
 // freeAddress returns an address of its own, so that no outgoing connection can
 // take its port before it is used.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	n := addresses.Add(1)
 	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 20+os.Getpid()%200, n/250, n%250+1))
@@ -86,14 +86,14 @@
 
 // newCluster starts one node and backend server for each service given. All are
 // ready when it returns.
-func newCluster(t *testing.T, services ...string) *cluster {
+func newCluster(t testing.TB, services ...string) *cluster {
 	t.Helper()
 	c := prepareCluster(t, services...)
 	c.start()
 	return c
 }
 
-func prepareCluster(t *testing.T, services ...string) *cluster {
+func prepareCluster(t testing.TB, services ...string) *cluster {
 	t.Helper()
 	s := standin.NewStore()
 	server := httptest.NewServer(s)
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -178,7 +178,7 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(answerGrace))
-	a, err := g.pool.ToBackend(ctx, addr, c, false)
+	a, err := g.pool.ToBackend(ctx, addr, c)
 	ended := ctx.Err() != nil
 	if a != nil && a.Rest != nil {
 		a.Rest = &cancelling{a.Rest, cancel}
