Give up silent connections after 1.2 s

Bytes that stay unacknowledged show a connection that something between the ends has forgotten. After 2 s most aims have passed.

--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -79,7 +79,7 @@
 
 // silence is how long a connection may leave bytes or probes unacknowledged.
 // Round trips take a few ms, so this covers several lost packets.
-const silence = 2 * time.Second
+const silence = 1200 * time.Millisecond
 
 // KeepAlive finds connections that went silent while an answer is awaited.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
