Learn from peers that the configuration is the newest

Two nodes now ask often, and the others take the age of that knowledge from answers to calls that they send anyway, counted from the sending of the call. A node that hears nothing in time asks the store itself, so the bound on withdrawn keys does not rest on others. It also holds for nodes that the store turns away.

Records of crashes have a table of their own: changes of members are collected for 0.5 s, and crashes must be known at once (TestCrashingRequest found that).

Tests: TestPeersConfirm, TestHearPeer, TestPeerTellsOfAChange.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,8 +18,14 @@
 	"github.com/teaselseam/teaselseam/platform"
 )
 
-// Table is the table of members in the store.
-const Table = "teaselseam-fleet"
+// Tables in the store.
+const (
+	Table = "teaselseam-fleet" // members by the node's name
+	// DeathTable holds records of crashes of backend servers. They have a table of
+	// their own because nodes collect changes of members, and must hear of a crash at
+	// once.
+	DeathTable = "teaselseam-deaths"
+)
 
 // Member is the row of one node, by the node's name.
 type Member struct {
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -50,6 +50,15 @@
 	Arrived    time.Time     // at the node of the caller
 	Deadline   time.Time     // when the call is given up
 	Aim        time.Duration // time left, at arrival, until the answer loses worth; zero if unknown
+	// AskConfig asks the other node for what it knows of the configuration.
+	AskConfig bool
+}
+
+// ConfigEvidence is what a node knows of the configuration: the version in force
+// there was the newest one the given time before the answer was written.
+type ConfigEvidence struct {
+	Version uint64
+	Age     time.Duration
 }
 
 // Body is the body of a request. Data holds it, or its beginning if Rest is set.
@@ -81,6 +90,8 @@
 	Rest   io.ReadCloser // what follows Body; nil if Body is everything
 	Length int64         // of the whole body; -1 if unknown
 
+	Config *ConfigEvidence // nil unless the call has asked for it
+
 	Load  *pressure.Load  // load of the answering guard; nil if it reports none
 	Hints []pressure.Hint // tight services behind the backend server
 	// Reported is the load that the backend server tells with its answer; nil if it
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -24,8 +24,13 @@
 	// downstreamHeader marks a failure that a call of the backend server's own has
 	// caused.
 	downstreamHeader = "Teaselseam-Downstream"
-	loadHeader       = request.HeaderLoad
-	hintsHeader      = request.HeaderHints
+	// askHeader asks for the configuration header on the answer.
+	askHeader = "Teaselseam-Ask-Config"
+	// configHeader holds a version and the age, in ms, of the knowledge that it is the
+	// newest.
+	configHeader = "Teaselseam-Config"
+	loadHeader   = request.HeaderLoad
+	hintsHeader  = request.HeaderHints
 )
 
 const callFields = 9
@@ -82,6 +87,9 @@
 	if len(a.Hints) > 0 {
 		h[hintsHeader] = []string{pressure.EncodeHints(a.Hints)}
 	}
+	if a.Config != nil {
+		h[configHeader] = []string{fmt.Sprintf("%d %d", a.Config.Version, a.Config.Age.Milliseconds()+1)}
+	}
 	if a.Downstream {
 		h[downstreamHeader] = []string{"1"}
 	}
@@ -107,8 +115,16 @@
 		}
 		a.Hints = hints
 	}
+	if v := h.Get(configHeader); v != "" {
+		c, err := parseConfig(v)
+		if err != nil {
+			return err
+		}
+		a.Config = c
+	}
 	a.Downstream = h.Get(downstreamHeader) != ""
 	v := h.Get(AnswerHeader)
+	delete(h, configHeader)
 	delete(h, downstreamHeader)
 	delete(h, loadHeader)
 	delete(h, hintsHeader)
@@ -119,6 +135,19 @@
 	return a.readRefusal(v)
 }
 
+func parseConfig(v string) (*ConfigEvidence, error) {
+	version, age, _ := strings.Cut(v, " ")
+	n, err := strconv.ParseUint(version, 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("configuration header %q: %w", v, err)
+	}
+	ms, err := strconv.ParseInt(age, 10, 64)
+	if err != nil || ms < 0 {
+		return nil, fmt.Errorf("configuration header %q has no age", v)
+	}
+	return &ConfigEvidence{Version: n, Age: time.Duration(ms) * time.Millisecond}, nil
+}
+
 func (a *Answer) readRefusal(v string) error {
 	parts := strings.Split(v, " ")
 	if len(parts) != 5 {
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -17,6 +17,9 @@
 		h[k] = v
 	}
 	h[CallHeader] = []string{c.encode(time.Now())}
+	if c.AskConfig {
+		h[askHeader] = []string{"1"}
+	}
 	a, err := p.do(ctx, exchange{addr: addr, call: c, header: h})
 	if err != nil {
 		return nil, err
--- a/internal/hop/serve.go
+++ b/internal/hop/serve.go
@@ -60,7 +60,9 @@
 	if err := c.decode(r.Header.Get(CallHeader), now); err != nil {
 		return nil, err
 	}
+	c.AskConfig = len(c.Header[askHeader]) > 0
 	delete(c.Header, CallHeader)
+	delete(c.Header, askHeader)
 	body, err := ReadBody(r, 0)
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/catalog"
+	"github.com/teaselseam/teaselseam/internal/clock"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
@@ -155,8 +156,13 @@
 	attempt := *c
 	attempt.Target = at.target
 	attempt.Aim = max(c.Aim-time.Since(c.Arrived), 0)
+	sinceBoot := clock.SinceBoot()
+	attempt.AskConfig = n.knowledge.ageAt(sinceBoot) > askAge
 	a, err := n.places.send(ctx, at, &attempt)
 	took := time.Since(sent)
+	if a != nil && a.Config != nil {
+		n.knowledge.hearPeer(*a.Config, sinceBoot)
+	}
 	if err != nil {
 		return n.lost(ctx, at, c, err, took)
 	}
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -116,7 +116,7 @@
 	for failures := 1; failures <= spreadTries; failures++ {
 		ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 		_, _, err := n.store.Commit(ctx, platform.Transaction{
-			Puts: []platform.Row{{Table: fleet.Table, Key: deathPrefix + id, Value: evidence}},
+			Puts: []platform.Row{{Table: fleet.DeathTable, Key: id, Value: evidence}},
 		})
 		cancel()
 		if err == nil {
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -96,7 +96,11 @@
 	if g.n.stopping.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
-	hop.WriteToNode(w, g.handle(r.Context(), c))
+	a := g.handle(r.Context(), c)
+	if c.AskConfig {
+		a.Config = g.n.knowledge.evidence()
+	}
+	hop.WriteToNode(w, a)
 }
 
 // handle runs a call at the backend server or refuses it.
--- a/internal/sidecar/knowledge.go
+++ b/internal/sidecar/knowledge.go
@@ -5,7 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,18 +19,14 @@
 )
 
 const (
-	// confirmPart of the bound on withdrawn keys is how long the store may hold
-	// back an answer that nothing has changed. A lost answer fits in the rest.
-	confirmPart = 0.4
-	// confirmSoon is the same after a change. What arrived with it was true at some
-	// time since the call was sent, and a short call tells that it is the newest.
-	confirmSoon = 300 * time.Millisecond
+	// configWait is how long a watch of the configuration lasts. It brings changes at
+	// once; that there is none is learned otherwise (confirm.go).
+	configWait = 20 * time.Second
+	// fleetWait is the same for the table of members.
+	fleetWait = 25 * time.Second
 	// fleetPause collects changes of the fleet, so that the start of n nodes does
 	// not make each of them call the store n times.
-	fleetPause = 250 * time.Millisecond
-	// fleetWait is the same for the table of members. It proves nothing, so it is
-	// as long as a silent connection may go unnoticed.
-	fleetWait = 10 * time.Second
+	fleetPause = 500 * time.Millisecond
 	// answerSlack is how long an answer may take beyond the wait asked for. A slow
 	// store takes 60 times its usual 4 ms.
 	answerSlack = time.Second
@@ -52,24 +48,23 @@
 	readyAge = 3 * time.Second
 )
 
-// Keys of rows in the table of the fleet.
-const (
-	memberPrefix = "node/"
-	deathPrefix  = "death/"
-)
-
 // knowledge is what the node knows from the store: the operator's configuration,
 // with the time as of which it is known to be the newest, and the fleet.
 type knowledge struct {
 	n   *Node
 	log *slog.Logger
 
-	configuration *platform.Configuration // newest; owned by runConfiguration
-	tree          *settings.Tree          // owned by runConfiguration; nil if there is none
+	mu            sync.Mutex
+	configuration *platform.Configuration // newest
+	tree          *settings.Tree          // nil if there is none
+	// configVersion is the store's version up to which changes of the operator's
+	// table are known; 0 before it was read.
+	configVersion uint64
 
 	catalog   atomic.Pointer[catalog.Catalog]
-	confirmed atomic.Int64 // time since boot at which the newest confirming call was sent
-	view      *fleet.View  // owned by runFleet
+	confirmed atomic.Int64  // time since boot as of which the configuration is known to be the newest
+	newer     chan struct{} // a peer knows a newer configuration
+	view      *fleet.View   // owned by runFleet
 	members   atomic.Pointer[[]*fleet.Member]
 	own       atomic.Pointer[ownRow]
 	fleetSeen chan struct{} // closed once the table has been read
@@ -82,15 +77,17 @@
 }
 
 func newKnowledge(n *Node) *knowledge {
-	k := &knowledge{n: n, log: n.log, view: fleet.NewView(), fleetSeen: make(chan struct{})}
+	k := &knowledge{n: n, log: n.log, view: fleet.NewView(), fleetSeen: make(chan struct{}), newer: make(chan struct{}, 1)}
 	k.members.Store(&[]*fleet.Member{})
 	k.confirmed.Store(-int64(time.Hour))
 	return k
 }
 
 // age is how old the knowledge of the configuration may be.
-func (k *knowledge) age() time.Duration {
-	return clock.SinceBoot() - time.Duration(k.confirmed.Load())
+func (k *knowledge) age() time.Duration { return k.ageAt(clock.SinceBoot()) }
+
+func (k *knowledge) ageAt(sinceBoot time.Duration) time.Duration {
+	return sinceBoot - time.Duration(k.confirmed.Load())
 }
 
 // keysHold tells whether no key can have been withdrawn for longer than users
@@ -99,21 +96,23 @@
 
 // runConfiguration follows the operator's configuration.
 func (k *knowledge) runConfiguration(ctx context.Context) error {
-	wait := time.Duration(confirmPart * float64(k.n.settings.Bounds.Revoke))
-	return k.follow(ctx, table{
-		name: platform.ConfigurationTable, wait: wait, waitAfterChange: confirmSoon,
-		take: func(u update) {
-			for _, r := range u.rows {
-				if !r.Deleted {
-					k.takeRow(r)
-				}
-			}
-			if len(u.rows) > 0 {
-				k.publishCatalog()
-			}
-			k.confirmed.Store(int64(u.confirms()))
-		},
-	})
+	return k.follow(ctx, table{name: platform.ConfigurationTable, wait: configWait, take: k.takeConfiguration})
+}
+
+// takeConfiguration takes an answer about the operator's table.
+func (k *knowledge) takeConfiguration(u update) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range u.rows {
+		if !r.Deleted {
+			k.takeRow(r)
+		}
+	}
+	if len(u.rows) > 0 {
+		k.publishCatalog()
+	}
+	k.configVersion = max(k.configVersion, u.version)
+	k.confirm(u.confirms())
 }
 
 // confirms returns the time since boot as of which the update is known to be the
@@ -166,7 +165,7 @@
 func (k *knowledge) runFleet(ctx context.Context) error {
 	first := true
 	return k.follow(ctx, table{
-		name: fleet.Table, wait: fleetWait, waitAfterChange: fleetWait, pauseAfterChange: fleetPause,
+		name: fleet.Table, wait: fleetWait, pauseAfterChange: fleetPause,
 		take: func(u update) {
 			k.takeFleet(u, first)
 			if first {
@@ -178,36 +177,29 @@
 }
 
 func (k *knowledge) takeFleet(u update, first bool) {
-	members, deaths := splitRows(u.rows)
 	var bad []error
 	if u.all {
-		bad = k.view.Replace(members)
+		bad = k.view.Replace(u.rows)
 	} else {
-		bad = k.view.Apply(members)
+		bad = k.view.Apply(u.rows)
 	}
 	for _, err := range bad {
 		k.log.Warn("row names no member", "event", "fleet", "err", err)
 	}
-	for _, d := range deaths {
-		k.n.crashes.receive(d.Value)
-	}
-	if len(members) > 0 || u.all {
+	if len(u.rows) > 0 || u.all {
 		k.publishFleet(first)
 	}
 }
 
-// splitRows separates the rows of members, whose key becomes the node's name,
-// from records of crashes.
-func splitRows(rows []platform.Row) (members, deaths []platform.Row) {
-	for _, r := range rows {
-		if name, ok := strings.CutPrefix(r.Key, memberPrefix); ok {
-			r.Key = name
-			members = append(members, r)
-		} else if strings.HasPrefix(r.Key, deathPrefix) && !r.Deleted {
-			deaths = append(deaths, r)
+// runDeaths follows the records of crashes of backend servers.
+func (k *knowledge) runDeaths(ctx context.Context) error {
+	return k.follow(ctx, table{name: fleet.DeathTable, wait: fleetWait, take: func(u update) {
+		for _, r := range u.rows {
+			if !r.Deleted {
+				k.n.crashes.receive(r.Value)
+			}
 		}
-	}
-	return members, deaths
+	}})
 }
 
 func (k *knowledge) publishFleet(first bool) {
@@ -223,9 +215,8 @@
 
 // table is a table of the store that the node follows.
 type table struct {
-	name            string
-	wait            time.Duration // longest wait for a change
-	waitAfterChange time.Duration // the same for the call after a change
+	name string
+	wait time.Duration // longest wait for a change
 	// pauseAfterChange is the time between a change and the next call.
 	pauseAfterChange time.Duration
 	take             func(update)
@@ -238,6 +229,8 @@
 	sent time.Duration // time since boot at which the call was sent
 	took time.Duration
 	wait time.Duration // that was asked for
+	// version of the store up to which the answer tells all changes.
+	version uint64
 }
 
 // follow reads a table and then its changes.
@@ -245,10 +238,9 @@
 	var version uint64
 	read := false
 	failures := 0
-	wait := t.wait
 	for ctx.Err() == nil {
-		u := update{all: !read, sent: clock.SinceBoot(), wait: wait}
-		changes, err := k.next(ctx, t.name, version, read, wait)
+		u := update{all: !read, sent: clock.SinceBoot(), wait: t.wait}
+		changes, err := k.next(ctx, t.name, version, read, t.wait)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -265,11 +257,10 @@
 			k.log.Info("store answers again", "event", "store", "table", t.name, "failures", failures)
 			failures = 0
 		}
-		u.rows, u.took = changes.Rows, clock.SinceBoot()-u.sent
+		u.rows, u.version, u.took = changes.Rows, changes.Version, clock.SinceBoot()-u.sent
 		t.take(u)
-		version, read, wait = changes.Version, true, t.wait
+		version, read = changes.Version, true
 		if len(u.rows) > 0 {
-			wait = t.waitAfterChange
 			sleep(ctx, t.pauseAfterChange)
 		}
 	}
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -114,7 +114,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	key := memberPrefix + row.Node
+	key := row.Node
 	v, current, err := m.n.store.Commit(ctx, platform.Transaction{
 		Expected: []platform.Expect{{Table: fleet.Table, Key: key, Version: version}},
 		Puts:     []platform.Row{{Table: fleet.Table, Key: key, Value: value}},
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -163,6 +163,8 @@
 	}
 	g.Go(func() error { return n.knowledge.runConfiguration(work) })
 	g.Go(func() error { return n.knowledge.runFleet(work) })
+	g.Go(func() error { return n.knowledge.runDeaths(work) })
+	g.Go(func() error { return n.knowledge.runConfirm(work) })
 	g.Go(func() error { return n.member.run(work) })
 	g.Go(func() error { return n.tokens.run(work) })
 	g.Go(func() error { return n.guard.line.run(work) })
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/standin"
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -546,3 +547,80 @@
 		t.Errorf("%d served of %d allowed, %d refused", served, allowed, refused)
 	}
 }
+
+// TestPeersConfirm guards against each node asking the store all the time, and
+// against a node that takes the age of a peer's knowledge for less than it is.
+func TestPeersConfirm(t *testing.T) {
+	c := newCluster(t, "stock", "mill", "desk", "spec")
+	time.Sleep(500 * time.Millisecond)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i, n := range c.nodes {
+		next := c.nodes[(i+1)%len(c.nodes)].settings.Service
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+					c.get(n, "/"+next+"/view/1", "key-guild")
+				}
+			}
+		}()
+	}
+	before := c.store.Calls()["/v1/rows-feed"]
+	oldest := time.Duration(0)
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, n := range c.nodes {
+			oldest = max(oldest, n.node.knowledge.age())
+		}
+	}
+	calls := c.store.Calls()["/v1/rows-feed"] - before
+	close(stop)
+	wg.Wait()
+	if oldest > sureAge {
+		t.Errorf("knowledge was up to %v old", oldest)
+	}
+	// Two of the four ask about every 0.7 s; without peers all four would ask at
+	// least every 1.8 s besides.
+	if calls > 24 {
+		t.Errorf("%d calls to the store in 6 s", calls)
+	}
+}
+
+// TestHearPeer guards against evidence of another version, or of the wrong age.
+func TestHearPeer(t *testing.T) {
+	c := newCluster(t, "stock")
+	k := c.nodes[0].node.knowledge
+	version := k.catalog.Load().Version
+	old := time.Duration(k.confirmed.Load())
+	asked := old + 10*time.Second
+	k.hearPeer(hop.ConfigEvidence{Version: version - 1}, asked)
+	if got := time.Duration(k.confirmed.Load()); got >= asked {
+		t.Error("an older version confirmed the present one")
+	}
+	k.hearPeer(hop.ConfigEvidence{Version: version, Age: 3 * time.Second}, asked)
+	if got := time.Duration(k.confirmed.Load()); got != asked-3*time.Second {
+		t.Errorf("confirmed as of %v, want %v", got, asked-3*time.Second)
+	}
+	k.hearPeer(hop.ConfigEvidence{Version: version, Age: 9 * time.Second}, asked)
+	if got := time.Duration(k.confirmed.Load()); got != asked-3*time.Second {
+		t.Error("older evidence took the place of newer")
+	}
+	k.hearPeer(hop.ConfigEvidence{Version: version + 1}, asked+time.Hour)
+	if got := time.Duration(k.confirmed.Load()); got != asked-3*time.Second {
+		t.Error("a newer version confirmed the present one")
+	}
+}
+
+// TestPeerTellsOfAChange guards against a node that waits for a silent watch although
+// its peers know a newer configuration.
+func TestPeerTellsOfAChange(t *testing.T) {
+	c := newCluster(t, "stock")
+	n := c.nodes[0].node
+	before := c.store.Calls()["/v1/rows-feed"]
+	n.knowledge.hearPeer(hop.ConfigEvidence{Version: n.knowledge.catalog.Load().Version + 1}, 0)
+	c.eventually("the node asks the store", func() bool { return c.store.Calls()["/v1/rows-feed"] > before })
+}
