Grant whole tokens; pause handing over for 0.4 s

On 83 nodes nearly every token of a small workspace comes from the bank. A pause of 1 s after the bank was full starved it, and grants of parts of tokens stayed unused at the nodes.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -47,7 +47,8 @@
 	dryPause = 100 * time.Millisecond
 	// fullPause is how long an account hands nothing over after the bank was full.
 	// Without it each node sends a message four times a second while nothing happens.
-	fullPause = time.Second
+	// A pause of a second starved the bank when demand rose meanwhile.
+	fullPause = 400 * time.Millisecond
 	// fullPart of its capacity makes the bank call itself full.
 	fullPart = 0.9
 )
@@ -298,7 +299,9 @@
 		if t.Draw <= 0 {
 			continue
 		}
-		give := min(t.Draw, b.tokens[t.Workspace])
+		// The node has a part of a token and asks for what makes it whole. A smaller
+		// grant is whole as well: parts of tokens at many nodes serve nobody.
+		give := t.Draw - math.Ceil(max(t.Draw-b.tokens[t.Workspace], 0))
 		if give <= 0 {
 			continue
 		}
