--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -110,7 +110,7 @@
 		ac.refill(now)
 		n := float64(a.nodes)
 		ac.rate = l.Rate / n
-		ac.capacity = (l.Burst/2 + accountSlack) / n
+		ac.capacity, _ = capacities(l, a.nodes)
 		ac.overflowCap = ac.rate * overflowSpan.Seconds()
 		ac.tokens = min(ac.tokens, max(ac.capacity, 1))
 		ac.overflow = min(ac.overflow, ac.overflowCap)
@@ -119,6 +119,16 @@
 	a.accounts = kept
 }
 
+// capacities returns what the account of each node and the bank may hold. Where the
+// part of a node is below one token, which serves nobody, the bank holds it all.
+func capacities(l Limit, nodes int) (account, bank float64) {
+	account = (l.Burst/2 + accountSlack) / float64(nodes)
+	if account < 1 {
+		return 0, l.Burst + accountSlack
+	}
+	return account, l.Burst / 2
+}
+
 // Limited tells whether the workspace has a limit.
 func (a *Accounts) Limited(workspace string) bool { return a.accounts[workspace] != nil }
 
@@ -268,12 +278,12 @@
 // NewBank returns an empty bank.
 func NewBank() *Bank { return &Bank{capacity: map[string]float64{}, tokens: map[string]float64{}} }
 
-// Set takes the limits of all workspaces.
-func (b *Bank) Set(limits []Limit) {
+// Set takes the limits of all workspaces and the number of nodes that share them.
+func (b *Bank) Set(limits []Limit, nodes int) {
 	clear(b.capacity)
 	for _, l := range limits {
 		if l.Rate > 0 {
-			b.capacity[l.Workspace] = l.Burst / 2
+			_, b.capacity[l.Workspace] = capacities(l, max(nodes, 1))
 		}
 	}
 	for name := range b.tokens {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -22,7 +22,7 @@
 
 func newFleet(n int, l Limit) *fleet {
 	f := &fleet{now: time.Unix(0, 0), bank: NewBank(), cut: map[int]bool{}, rnd: rand.New(rand.NewPCG(1, 2))}
-	f.bank.Set([]Limit{l})
+	f.bank.Set([]Limit{l}, n)
 	for range n {
 		a := NewAccounts()
 		a.Set(f.now, []Limit{l}, n)
@@ -178,7 +178,7 @@
 	f := newFleet(16, Limit{workspace, 400, 400})
 	f.run(5*time.Second, 100, 16)
 	lower := Limit{workspace, 20, 20}
-	f.bank.Set([]Limit{lower})
+	f.bank.Set([]Limit{lower}, 16)
 	for _, n := range f.nodes {
 		n.Set(f.now, []Limit{lower}, 16)
 	}
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -61,7 +61,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.accounts.Set(time.Now(), limits, nodes)
-	t.bank.Set(limits)
+	t.bank.Set(limits, nodes)
 }
 
 // take takes a token for a request, waiting for the bank if that may have some.
