--- a/internal/sidecar/knowledge.go
+++ b/internal/sidecar/knowledge.go
@@ -26,7 +26,7 @@
 	fleetWait = 25 * time.Second
 	// fleetPause collects changes of the fleet, so that the start of n nodes does
 	// not make each of them call the store n times.
-	fleetPause = 500 * time.Millisecond
+	fleetPause = time.Second
 	// answerSlack is how long an answer may take beyond the wait asked for. A slow
 	// store takes 60 times its usual 4 ms.
 	answerSlack = time.Second
