--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"syscall"
 	"time"
@@ -35,7 +36,10 @@
 	Sent bool
 	// Refused is true if there is no listener at the address.
 	Refused bool
-	Err     error
+	// Ended is true if the deadline passed or the caller left. The connection may
+	// notice the deadline a moment before the context does.
+	Ended bool
+	Err   error
 }
 
 // Error implements error.
@@ -59,10 +63,13 @@
 func (p *Pool) do(ctx context.Context, x exchange) (*Answer, *Error) {
 	c, err := p.get(ctx, x)
 	if err != nil {
-		return nil, &Error{Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED)}
+		return nil, &Error{Err: err, Refused: errors.Is(err, syscall.ECONNREFUSED), Ended: ctx.Err() != nil}
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	a, keep, e := p.exchange(c, x)
+	if e != nil {
+		e.Ended = ctx.Err() != nil || errors.Is(e.Err, os.ErrDeadlineExceeded)
+	}
 	if !stop() {
 		keep = false
 	}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -18,10 +18,9 @@
 	dialer  net.Dialer
 	maxIdle time.Duration // idle connections older than this are closed
 
-	mu   sync.Mutex
-	idle map[string][]*conn
-	// Opened counts new connections, Reused those used again.
-	opened, reused uint64
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	opened uint64 // connections so far
 }
 
 // NewPool returns a pool that closes connections after maxIdle, which must be
@@ -78,7 +77,6 @@
 		return nil
 	}
 	p.idle[addr] = list[:len(list)-1]
-	p.reused++
 	return c
 }
 
@@ -125,9 +123,9 @@
 	}
 }
 
-// Counts returns how many connections were opened and how often one was reused.
-func (p *Pool) Counts() (opened, reused uint64) {
+// Opened returns how many connections were opened.
+func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.opened, p.reused
+	return p.opened
 }
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -164,17 +164,17 @@
 		n.knowledge.hearPeer(*a.Config, sinceBoot)
 	}
 	if err != nil {
-		return n.lost(ctx, at, c, err, took)
+		return n.lost(at, c, err, took)
 	}
 	n.places.done(c.Service, at.id, routing.Result{Kind: kindOf(a), Latency: took, Draining: draining(a), Load: report(a.Load)})
 	return a
 }
 
 // lost handles the failure of the exchange with a node.
-func (n *Node) lost(ctx context.Context, at place, c *hop.Call, err *hop.Error, took time.Duration) *hop.Answer {
+func (n *Node) lost(at place, c *hop.Call, err *hop.Error, took time.Duration) *hop.Answer {
 	kind := routing.Failed
 	reason := request.ReasonPeerLost
-	if ctx.Err() != nil {
+	if err.Ended {
 		kind, reason = routing.Cancelled, request.ReasonDeadline
 	}
 	n.places.done(c.Service, at.id, routing.Result{Kind: kind, Latency: took})
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -183,7 +183,6 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(answerGrace))
 	a, err := g.pool.ToBackend(ctx, addr, c)
-	ended := ctx.Err() != nil
 	if a != nil && a.Rest != nil {
 		a.Rest = &cancelling{a.Rest, cancel}
 	} else {
@@ -191,7 +190,7 @@
 	}
 	switch {
 	case err != nil:
-		return g.failed(ended, addr, c, err), dispatch.Broken
+		return g.failed(addr, c, err), dispatch.Broken
 	case a.Refusal != nil && full(a.Reported):
 		return a, dispatch.Full
 	case a.Refusal != nil:
@@ -204,17 +203,16 @@
 // that tells no load is believed.
 func full(l *platform.Load) bool { return l == nil || l.Waiting > 0 || l.Running >= l.Slots }
 
-// failed turns the failure of an exchange into an answer. ended tells whether the
-// deadline has passed or the caller has left.
-func (g *guard) failed(ended bool, addr string, c *hop.Call, err *hop.Error) *hop.Answer {
+// failed turns the failure of an exchange into an answer.
+func (g *guard) failed(addr string, c *hop.Call, err *hop.Error) *hop.Answer {
 	reason := request.ReasonBackendLost
-	if ended {
+	if err.Ended {
 		reason = request.ReasonDeadline
 	}
 	g.n.requests.Warn("no answer of the backend server", "event", "backend_lost", "id", c.ID, "route", c.Route,
 		"peer", addr, "sent", err.Sent, "reason", string(reason), "err", err.Err)
 	if err.Sent {
-		if !ended {
+		if !err.Ended {
 			g.checkDeath(addr)
 		}
 		return hop.MayHaveRun(reason)
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -53,40 +53,51 @@
 		return nil
 	}
 	m.restore()
-	var acknowledged *fleet.Member
-	var version uint64
+	var row known
 	failures := 0
-	for {
-		if own := m.n.knowledge.own.Load(); own != nil && own.version >= version {
-			acknowledged, version = own.member, own.version
+	for ctx.Err() == nil {
+		if own := m.n.knowledge.own.Load(); own != nil && own.version >= row.version {
+			row = known{own.member, own.version}
 		}
 		want := m.wanted()
-		if acknowledged == nil || *acknowledged != want {
-			v, err := m.write(ctx, want, version)
-			if err == nil {
-				acknowledged, version, failures = &want, v, 0
-				m.publish(want)
-				continue
-			}
-			failures++
-			if failures == 1 {
-				m.n.log.Warn("own row was not written", "event", "member", "err", err)
-			}
-			if errors.Is(err, platform.ErrConflict) {
-				version = v
-			}
-			pause(ctx, failures)
-		} else {
+		if row.member != nil && *row.member == want {
 			m.publish(want)
 			select {
 			case <-m.wake:
 			case <-ctx.Done():
 			}
+			continue
+		}
+		var err error
+		if row, err = m.update(ctx, row, want); err == nil {
+			failures = 0
+			continue
 		}
-		if ctx.Err() != nil {
-			return nil
+		failures++
+		if failures == 1 {
+			m.n.log.Warn("own row was not written", "event", "member", "err", err)
 		}
+		pause(ctx, failures)
+	}
+	return nil
+}
+
+// known is the row as the store is known to have it.
+type known struct {
+	member  *fleet.Member // nil if there is none, or what it says is not known
+	version uint64
+}
+
+// update writes the row and returns what the store has then.
+func (m *memberRow) update(ctx context.Context, row known, want fleet.Member) (known, error) {
+	version, err := m.write(ctx, want, row.version)
+	switch {
+	case err == nil:
+		return known{&want, version}, nil
+	case errors.Is(err, platform.ErrConflict):
+		return known{nil, version}, err
 	}
+	return row, err
 }
 
 // restore takes over what an earlier process of the node knew of the backend
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -103,6 +103,7 @@
 	n.places = newPlaces(s, n.guard.handle, n.peers)
 	n.tokens = newTokens(n)
 	n.member = newMemberRow(n)
+	n.registerMetrics()
 	return n, n.listen()
 }
 
