--- a/internal/sidecar/knowledge.go
+++ b/internal/sidecar/knowledge.go
@@ -24,9 +24,13 @@
 	configWait = 20 * time.Second
 	// fleetWait is the same for the table of members.
 	fleetWait = 25 * time.Second
-	// fleetPause collects changes of the fleet, so that the start of n nodes does
-	// not make each of them call the store n times.
-	fleetPause = time.Second
+	// Changes of the fleet are collected, so that the start of n nodes does not make
+	// each of them call the store n times: for pausePerMember times the members, within
+	// bounds. News of 16 nodes that came back after a loss of power served 0.75 of the
+	// first two seconds after a pause of 0.25 s, and 0.34 after 1 s.
+	pausePerMember = 5 * time.Millisecond
+	minFleetPause  = 250 * time.Millisecond
+	maxFleetPause  = time.Second
 	// answerSlack is how long an answer may take beyond the wait asked for. A slow
 	// store takes 60 times its usual 4 ms.
 	answerSlack = time.Second
@@ -165,7 +169,7 @@
 func (k *knowledge) runFleet(ctx context.Context) error {
 	first := true
 	return k.follow(ctx, table{
-		name: fleet.Table, wait: fleetWait, pauseAfterChange: fleetPause,
+		name: fleet.Table, wait: fleetWait, pauseAfterChange: k.fleetPause,
 		take: func(u update) {
 			k.takeFleet(u, first)
 			if first {
@@ -191,6 +195,12 @@
 	}
 }
 
+// fleetPause is the time for which changes of the fleet are collected.
+func (k *knowledge) fleetPause() time.Duration {
+	pause := time.Duration(len(*k.members.Load())) * pausePerMember
+	return min(max(pause, minFleetPause), maxFleetPause)
+}
+
 // runDeaths follows the records of crashes of backend servers.
 func (k *knowledge) runDeaths(ctx context.Context) error {
 	return k.follow(ctx, table{name: fleet.DeathTable, wait: fleetWait, take: func(u update) {
@@ -218,7 +228,7 @@
 	name string
 	wait time.Duration // longest wait for a change
 	// pauseAfterChange is the time between a change and the next call.
-	pauseAfterChange time.Duration
+	pauseAfterChange func() time.Duration // nil for none
 	take             func(update)
 }
 
@@ -260,8 +270,8 @@
 		u.rows, u.version, u.took = changes.Rows, changes.Version, clock.SinceBoot()-u.sent
 		t.take(u)
 		version, read = changes.Version, true
-		if len(u.rows) > 0 {
-			sleep(ctx, t.pauseAfterChange)
+		if len(u.rows) > 0 && t.pauseAfterChange != nil {
+			sleep(ctx, t.pauseAfterChange())
 		}
 	}
 	return nil
