Remove names that nothing uses any more; withdraw keys behind a cut in the soak

Dead constants, statuses and request IDs of the first interface. Package sidecar has the one mapping from a refusal to a status.

--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -29,8 +29,8 @@
 	// configHeader holds a version and the age, in ms, of the knowledge that it is the
 	// newest.
 	configHeader = "Teaselseam-Config"
-	loadHeader   = request.HeaderLoad
-	hintsHeader  = request.HeaderHints
+	loadHeader   = "Teaselseam-Load"  // load of the answering guard
+	hintsHeader  = "Teaselseam-Hints" // load of services behind the answer
 )
 
 const callFields = 9
--- a/internal/model/ours.go
+++ b/internal/model/ours.go
@@ -87,7 +87,7 @@
 	return t.picker.Pick(o.w.q.time(), o.w.rnd, c.tried)
 }
 
-// retry follows package ingress.
+// retry follows package sidecar.
 func (o *ours) retry(c *call, r result) (time.Duration, bool) {
 	switch r.reason {
 	case request.ReasonOverload:
--- a/internal/model/ours_test.go
+++ b/internal/model/ours_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestResultsAsInIngress guards against results that the model treats differently
-// from package ingress: they would eject endpoints or spend retries in the model only.
+// from package sidecar: they would eject endpoints or spend retries in the model only.
 func TestResultsAsInIngress(t *testing.T) {
 	for _, tc := range []struct {
 		reason  request.Reason
--- a/internal/model/policy.go
+++ b/internal/model/policy.go
@@ -65,7 +65,7 @@
 func (n *naive) passesDeadline() bool                      { return false }
 func (n *naive) endpointsChanged(int)                      {}
 
-// kindOf maps a result to what the picker learns from it, as package ingress does. A
+// kindOf maps a result to what the picker learns from it, as package sidecar does. A
 // failure further down and a refusal of this request only say nothing about the
 // endpoint.
 func kindOf(r result) routing.Kind {
--- a/internal/request/importance.go
+++ b/internal/request/importance.go
@@ -35,9 +35,3 @@
 	}
 	return Normal, fmt.Errorf("importance %q is not one of sheddable, normal, high, critical", s)
 }
-
-// Inherit returns the importance of a nested call. A nested call may lower the
-// importance of its parent but never raise it.
-func Inherit(parent, wanted Importance) Importance {
-	return min(parent, wanted)
-}
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -44,78 +44,24 @@
 
 // Reasons of refusals.
 const (
-	ReasonBadRequest       Reason = "bad_request"
-	ReasonBodyTooLarge     Reason = "body_too_large"
-	ReasonUnknownRoute     Reason = "unknown_route"
-	ReasonUnknownKey       Reason = "unknown_key"
-	ReasonKeyRevoked       Reason = "key_revoked"
-	ReasonRouteForbidden   Reason = "route_forbidden"
-	ReasonOverShare        Reason = "over_share"
-	ReasonShareUnavailable Reason = "share_unavailable"
-	ReasonOverload         Reason = "overload"
-	ReasonDownstream       Reason = "downstream_overload"
-	ReasonDeadline         Reason = "deadline"
-	ReasonDraining         Reason = "draining"
-	ReasonNoBackend        Reason = "no_backend_server"
-	ReasonBackendLost      Reason = "backend_server_lost"
-	ReasonPeerLost         Reason = "peer_lost"
-	ReasonNodeStale        Reason = "node_stale"
-	ReasonQuarantined      Reason = "quarantined"
-	ReasonDuplicate        Reason = "duplicate"
-	ReasonIDTooOld         Reason = "id_too_old"
-	ReasonIDNotV7          Reason = "id_not_uuidv7"
-	ReasonClaimUnavailable Reason = "claim_unavailable"
-	ReasonBadAnswer        Reason = "bad_answer"
-	ReasonCancelled        Reason = "cancelled"
-	ReasonWrongIncarnation Reason = "wrong_incarnation"
+	ReasonBadRequest     Reason = "bad_request"
+	ReasonBodyTooLarge   Reason = "body_too_large"
+	ReasonUnknownRoute   Reason = "unknown_route"
+	ReasonUnknownKey     Reason = "unknown_key"
+	ReasonRouteForbidden Reason = "route_forbidden"
+	ReasonOverShare      Reason = "over_share"
+	ReasonOverload       Reason = "overload"
+	ReasonDownstream     Reason = "downstream_overload"
+	ReasonDeadline       Reason = "deadline"
+	ReasonDraining       Reason = "draining"
+	ReasonNoBackend      Reason = "no_backend_server"
+	ReasonBackendLost    Reason = "backend_server_lost"
+	ReasonPeerLost       Reason = "peer_lost"
+	ReasonNodeStale      Reason = "node_stale"
+	ReasonQuarantined    Reason = "quarantined"
+	ReasonCancelled      Reason = "cancelled"
 )
 
-// HTTP status codes of refusals. They are repeated here because core packages
-// do not import net/http.
-const (
-	statusBadRequest            = 400
-	statusUnauthorized          = 401
-	statusForbidden             = 403
-	statusNotFound              = 404
-	statusConflict              = 409
-	statusRequestEntityTooLarge = 413
-	statusMisdirectedRequest    = 421
-	statusUnprocessableEntity   = 422
-	statusTooManyRequests       = 429
-	statusBadGateway            = 502
-	statusServiceUnavailable    = 503
-	statusGatewayTimeout        = 504
-	statusClientClosedRequest   = 499 // customary for a caller that went away
-)
-
-var reasonStatus = map[Reason]int{
-	ReasonBadRequest:       statusBadRequest,
-	ReasonIDNotV7:          statusBadRequest,
-	ReasonBodyTooLarge:     statusRequestEntityTooLarge,
-	ReasonUnknownRoute:     statusNotFound,
-	ReasonUnknownKey:       statusUnauthorized,
-	ReasonKeyRevoked:       statusUnauthorized,
-	ReasonRouteForbidden:   statusForbidden,
-	ReasonOverShare:        statusTooManyRequests,
-	ReasonDeadline:         statusGatewayTimeout,
-	ReasonBackendLost:      statusBadGateway,
-	ReasonPeerLost:         statusBadGateway,
-	ReasonBadAnswer:        statusBadGateway,
-	ReasonQuarantined:      statusUnprocessableEntity,
-	ReasonDuplicate:        statusConflict,
-	ReasonIDTooOld:         statusConflict,
-	ReasonCancelled:        statusClientClosedRequest,
-	ReasonWrongIncarnation: statusMisdirectedRequest,
-}
-
-// Status returns the HTTP status of a reason; 503 unless listed otherwise.
-func (r Reason) Status() int {
-	if s, ok := reasonStatus[r]; ok {
-		return s
-	}
-	return statusServiceUnavailable
-}
-
 // Refusal is the final answer to a call that teaselseam gives up on. It is a
 // value, because refusing must be far cheaper than serving.
 type Refusal struct {
@@ -130,20 +76,3 @@
 func Refuse(reason Reason, retryAfter time.Duration) Refusal {
 	return Refusal{Reason: reason, Outcome: NotRun, RetryAfter: retryAfter}
 }
-
-// Refused is Refuse for places where a nil refusal means that a call goes on.
-func Refused(reason Reason, retryAfter time.Duration) *Refusal {
-	r := Refuse(reason, retryAfter)
-	return &r
-}
-
-// Unknown returns a refusal of a call that may have run.
-func Unknown(reason Reason) Refusal {
-	return Refusal{Reason: reason, Outcome: MayHaveRun}
-}
-
-// RetryAfterSeconds returns the value of the Retry-After header, in whole
-// seconds rounded up; zero means that the header is left out.
-func (r Refusal) RetryAfterSeconds() int {
-	return int((r.RetryAfter + time.Second - 1) / time.Second)
-}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -55,6 +55,18 @@
 	{"store is late", false, func(r *run, _ *node, _ *rand.Rand) { r.storeFault(standin.Faults{LateBy: 1500 * time.Millisecond}) }},
 	{"store forgets", false, func(r *run, _ *node, _ *rand.Rand) { r.fleet.store.ForgetHistory() }},
 	{"way to the store", false, func(r *run, n *node, rnd *rand.Rand) { r.link(n, n.toStore, rnd) }},
+	{"withdraw keys behind a cut from the store", false, func(r *run, n *node, rnd *rand.Rand) {
+		n.disturb()
+		n.toStore.set([]fault{silent, refused}[rnd.IntN(2)])
+		time.Sleep(300 * time.Millisecond)
+		for range 2 {
+			key, _ := r.config.choose(rnd.IntN)
+			r.config.withdraw(r.fleet, key)
+		}
+		time.Sleep(revokeBound + 4*time.Second)
+		n.toStore.set(none)
+		n.disturb()
+	}},
 	{"way to the backend server", false, func(r *run, n *node, rnd *rand.Rand) { r.link(n, n.toServer, rnd) }},
 }
 
