Read the operator's table anew when the store has dropped its history beside a watch

Cause, found by reading: a watch of 20 s may go on in silence after the store has dropped the changes that a short call asks for, and the node would have refused requests with keys until its end. TestHistoryForgottenBesideAWatch fails without the change.

--- a/internal/sidecar/confirm.go
+++ b/internal/sidecar/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/clock"
@@ -114,12 +115,17 @@
 	return k.configVersion
 }
 
-// ask asks for changes without a wait.
+// ask asks for changes without a wait. If the store has dropped the changes since the
+// version, the table is read anew: the watch may not learn of that before its end.
 func (k *knowledge) ask(ctx context.Context, version uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	u := update{sent: clock.SinceBoot()}
 	changes, err := k.n.store.Watch(ctx, platform.ConfigurationTable, version, 0)
+	if errors.Is(err, platform.ErrHistoryLost) {
+		u.all = true
+		changes, err = k.n.store.Read(ctx, platform.ConfigurationTable, "")
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -103,6 +103,22 @@
 	})
 }
 
+// TestHistoryForgottenBesideAWatch guards against a node that refuses requests with
+// keys because the store has dropped its history, while a long watch goes on in
+// silence.
+func TestHistoryForgottenBesideAWatch(t *testing.T) {
+	c := newCluster(t, "stock")
+	time.Sleep(500 * time.Millisecond)
+	c.store.Put("another table", "row", []byte("x"))
+	time.Sleep(50 * time.Millisecond) // the watch has seen that it is not concerned
+	c.store.ForgetHistory()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if age := c.nodes[0].node.knowledge.age(); age > sureAge {
+			t.Fatalf("the knowledge of the configuration is %v old", age)
+		}
+	}
+}
+
 // TestKeysEndWithoutTheStore guards against a withdrawn key that goes on working
 // at a node that has lost the store: keyed requests are refused as not run after
 // the bound, requests without a key go on, and the node says that it is not ready.
