--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -71,7 +71,7 @@
 	// The type hides how to read the body again, so that the client does not send a
 	// request twice by itself.
 	body := struct{ io.Reader }{strings.NewReader(s.body)}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.ports["outbound"]+s.path, body)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.ports["callers"]+s.path, body)
 	if err != nil {
 		panic(err) // the request is built from constants
 	}
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -1,11 +1,12 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/teaselseam/teaselseam/platform"
 )
 
 var services = []string{"desk", "mill"}
@@ -40,23 +41,25 @@
 // write puts the present configuration into force.
 func (c *operatorConfig) write(f *fleet) {
 	c.version += 2
-	type table struct {
-		Columns []string `json:"columns"`
-		Rows    [][]any  `json:"rows"`
-	}
-	routes := table{Columns: []string{"name", "host", "prefix", "kind", "service", "timeoutMs", "targetLatencyMs", "priority", "maxAttempts", "noAuth"}}
-	add := func(name, prefix, kind, service string, rank int, open bool) {
-		routes.Rows = append(routes.Rows, []any{name, "soak.example", prefix, kind, service, 1500, 400, rank, 2, open})
+	conf := &platform.Configuration{Version: uint64(c.version), Workspaces: []platform.Workspace{}, Limits: platform.Limits{
+		HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+	}}
+	add := func(name, prefix, service string, rank int, idempotent, open bool) {
+		conf.Routes = append(conf.Routes, platform.Route{
+			Name: name, Host: "soak.example", Prefix: prefix, Parts: []platform.Part{{Service: service, Weight: 1}},
+			Idempotent: idempotent, Timeout: 1500 * time.Millisecond, Aim: 400 * time.Millisecond,
+			Rank: rank, MaxAttempts: maxAttempts, Open: open,
+		})
 	}
 	for _, s := range services {
-		add("view-"+s, "/view/"+s+"/", "safe", s, 1, false)
-		add("order-"+s, "/order/"+s+"/", "non_idempotent", s, 0, false)
-		add("check-"+s, "/check/"+s+"/", "safe", s, 0, true)
+		conf.Services = append(conf.Services, platform.Service{Name: s})
+		add("view-"+s, "/view/"+s+"/", s, 1, true, false)
+		add("order-"+s, "/order/"+s+"/", s, 0, false, false)
+		add("check-"+s, "/check/"+s+"/", s, 0, true, true)
 	}
 	for _, name := range c.extra {
-		add(name, "/"+name+"/", "safe", services[0], 1, false)
+		add(name, "/"+name+"/", services[0], 1, true, false)
 	}
-	tenants := table{Columns: []string{"name", "apiKeys", "ratePerS", "burst"}}
 	for w, rate := range rates {
 		var keys []string
 		for k, of := range c.keys {
@@ -65,17 +68,13 @@
 			}
 		}
 		slices.Sort(keys)
-		tenants.Rows = append(tenants.Rows, []any{w, keys, rate, rate})
+		conf.Workspaces = append(conf.Workspaces, platform.Workspace{Name: w, Keys: keys, Rate: rate, Burst: rate})
 	}
-	value, err := json.Marshal(map[string]any{
-		"version": fmt.Sprint("r", c.version), "routes": routes, "tenants": tenants,
-		"services": table{Columns: []string{"name"}, Rows: [][]any{{services[0]}, {services[1]}}},
-		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	value, err := platform.EncodeConfiguration(conf)
 	if err != nil {
-		panic(err) // the value has no type that cannot be encoded
+		panic(err) // the configuration has no value that cannot be encoded
 	}
-	f.store.Put("op", "config", value)
+	f.store.Put(platform.ConfigurationTable, platform.ConfigurationKey, value)
 }
 
 // withdraw takes a key away and gives the workspace another.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -142,7 +141,7 @@
 	client := &http.Client{Timeout: time.Second}
 	return func(w http.ResponseWriter, req *http.Request) bool {
 		if strings.Contains(req.URL.Path, "nested-") && !r.nested(client, n, req) {
-			w.Header().Set("Response-Signature", "signed")
+			standin.Sign(w)
 			w.WriteHeader(http.StatusInternalServerError)
 			return true
 		}
@@ -154,12 +153,7 @@
 			return false
 		}
 		if how == garble {
-			w.Header().Set("Response-Signature", "signed")
-			w.Header().Set("Content-Length", "100000")
-			_, _ = io.WriteString(w, "this answer ends early") // it is meant to be cut
-			if f, ok := w.(http.Flusher); ok {
-				f.Flush()
-			}
+			standin.CutAnswer(w)
 		}
 		panic(http.ErrAbortHandler)
 	}
@@ -167,7 +161,7 @@
 
 // nested makes a call of a backend server through the node beside it.
 func (r *run) nested(client *http.Client, n *node, parent *http.Request) bool {
-	req, err := http.NewRequestWithContext(parent.Context(), http.MethodGet, "http://"+n.ports["outbound"]+"/check/mill/x", nil)
+	req, err := http.NewRequestWithContext(parent.Context(), http.MethodGet, "http://"+n.ports["callers"]+"/check/mill/x", nil)
 	if err != nil {
 		return false
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -101,7 +100,7 @@
 
 func (n *node) prepare(a *addresses) error {
 	n.ports = map[string]string{}
-	for _, name := range []string{"inbound", "outbound", "ready", "control", "app", "server", "store", "metrics"} {
+	for _, name := range []string{"peers", "callers", "ready", "announce", "backend", "server", "store", "metrics"} {
 		address, err := a.take()
 		if err != nil {
 			return err
@@ -112,25 +111,17 @@
 	if n.toStore, err = newProxy(n.ports["store"], strings.TrimPrefix(n.f.web.URL, "http://")); err != nil {
 		return err
 	}
-	if n.toServer, err = newProxy(n.ports["app"], n.ports["server"]); err != nil {
-		return err
-	}
-	host, port, err := net.SplitHostPort(n.ports["metrics"])
-	if err != nil {
+	if n.toServer, err = newProxy(n.ports["backend"], n.ports["server"]); err != nil {
 		return err
 	}
 	n.file = filepath.Join(n.f.dir, n.name+".json")
-	data, err := json.Marshal(map[string]any{
-		"node": n.name, "ip": host, "zone": n.dc, "service": n.service, "appAddr": n.ports["app"],
-		"listen":    map[string]string{"inbound": n.ports["inbound"], "outbound": n.ports["outbound"], "ready": n.ports["ready"], "control": n.ports["control"]},
-		"portRange": []json.Number{json.Number(port), json.Number(port)},
-		"limits":    map[string]int{"memoryMb": 284, "maxFds": 4100}, "beatIntervalMs": announceBy.Milliseconds(),
-		"platform": map[string]string{"address": n.ports["store"]},
-		"bounds": map[string]any{
-			"contactMs": 3000, "drainMs": drainBound.Milliseconds(), "graceS": stopGrace.Seconds(), "configApplyMs": applyBound.Milliseconds(),
-			"revokeMs": revokeBound.Milliseconds(), "retryBudgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 49,
-		},
-	})
+	settings := standin.NodeSettings{
+		Node: n.name, DataCentre: n.dc, Service: n.service,
+		Callers: n.ports["callers"], Peers: n.ports["peers"], Ready: n.ports["ready"], Announce: n.ports["announce"],
+		Backend: n.ports["backend"], Store: n.ports["store"], Metrics: n.ports["metrics"],
+		AnnounceInterval: announceBy, Revoke: revokeBound, Drain: drainBound, ConfigApply: applyBound, StopGrace: stopGrace,
+	}
+	data, err := settings.File()
 	if err != nil {
 		return err
 	}
@@ -213,8 +204,8 @@
 		n.old = append(n.old, n.backend)
 	}
 	b := standin.NewBackend(standin.BackendConfig{
-		ID: fmt.Sprintf("%s-%d", n.name, len(n.old)), Service: n.service, Address: n.ports["app"], Listen: n.ports["server"],
-		Announce: n.ports["control"], Slots: slots, Queue: 2 * slots, Interval: announceBy, Work: 8 * time.Millisecond,
+		ID: fmt.Sprintf("%s-%d", n.name, len(n.old)), Service: n.service, Address: n.ports["backend"], Listen: n.ports["server"],
+		Announce: n.ports["announce"], Slots: slots, Queue: 2 * slots, Interval: announceBy, Work: 8 * time.Millisecond,
 	})
 	b.Behave(behave)
 	ctx, cancel := context.WithCancel(context.Background())
