--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -640,3 +641,72 @@
 	n.knowledge.hearPeer(hop.ConfigEvidence{Version: n.knowledge.catalog.Load().Version + 1}, 0)
 	c.eventually("the node asks the store", func() bool { return c.store.Calls()["/v1/rows-feed"] > before })
 }
+
+// TestLongBodies guards against bodies that are cut or changed because they are too
+// long to be held, with a length and in chunks, to a backend server on the same VM and
+// on another.
+func TestLongBodies(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	long := strings.Repeat("0123456789abcdef", 80_000) // 1.28 MB, several times hop.MaxBuffered
+	for _, n := range c.nodes {
+		n.backend.Behave(func(w http.ResponseWriter, r *http.Request) bool {
+			standin.Sign(w)
+			if strings.Contains(r.URL.Path, "chunks") {
+				w.(http.Flusher).Flush()
+			} else {
+				w.Header().Set("Content-Length", strconv.Itoa(len(long)))
+			}
+			io.WriteString(w, long)
+			return true
+		})
+	}
+	for _, to := range c.nodes {
+		for _, form := range []string{"length", "chunks"} {
+			body := io.Reader(strings.NewReader(long))
+			if form == "chunks" {
+				body = struct{ io.Reader }{body}
+			}
+			req, err := http.NewRequest(http.MethodPost, "http://"+c.nodes[0].settings.CallerAddress+"/"+to.settings.Service+"/order/"+form, body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "shop.example"
+			req.Header.Set("Request-Id", newID())
+			req.Header.Set("Deadline-Ms", "5000")
+			req.Header.Set("Authorization", "Bearer key-guild")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatalf("%s to %s: %v", form, to.settings.Service, err)
+			}
+			got, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err != nil || resp.StatusCode != http.StatusOK || string(got) != long {
+				t.Errorf("%s to %s: status %d, %d bytes, %v", form, to.settings.Service, resp.StatusCode, len(got), err)
+			}
+			runs := to.backend.Runs()
+			if ran := runs[len(runs)-1]; ran.Body != long {
+				t.Errorf("%s to %s: the backend server got %d bytes", form, to.settings.Service, len(ran.Body))
+			}
+		}
+	}
+}
+
+// TestLongAnswerBreaksOff guards against a long answer that ends early and looks
+// complete.
+func TestLongAnswerBreaksOff(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	for _, n := range c.nodes {
+		n.backend.Behave(func(w http.ResponseWriter, _ *http.Request) bool {
+			standin.Sign(w)
+			w.(http.Flusher).Flush() // no length
+			io.WriteString(w, strings.Repeat("x", 1<<20))
+			panic(http.ErrAbortHandler)
+		})
+	}
+	for _, to := range c.nodes {
+		r := c.send(c.nodes[0], http.MethodPost, "/"+to.settings.Service+"/order/1", "key-guild", "x", newID(), 3*time.Second)
+		if r.err == nil && r.status == http.StatusOK {
+			t.Errorf("to %s: a complete answer of %d bytes", to.settings.Service, len(r.body))
+		}
+	}
+}
