--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -129,9 +129,6 @@
 	return account, l.Burst / 2
 }
 
-// Limited tells whether the workspace has a limit.
-func (a *Accounts) Limited(workspace string) bool { return a.accounts[workspace] != nil }
-
 // Take takes a token for a request. A workspace without a limit needs none.
 func (a *Accounts) Take(now time.Time, workspace string) bool {
 	ac := a.accounts[workspace]
