Count the demand of a workspace over 6 s at the ingress

Cause: TestEarlyRefusalManyIngresses was red (wasted work divided by 1.93, want 2). Of 100 ingresses each counts fewer than two requests of a workspace in 2 s, and one standard deviation of tolerance then exempts most of them as within their share. A smaller tolerance (0.4 to 0.8 standard deviations) breaks or grazes the bound for small workspaces at factor 35. The other bounds of TestEarlyRefusal hold.

--- a/internal/pressure/demand.go
+++ b/internal/pressure/demand.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// demandSpan is the time over which the demand of a workspace is counted.
-	demandSpan = 2 * time.Second
+	// demandSpan is the time over which the demand of a workspace is counted. In 2 s
+	// an ingress with 6 requests a second of 8 workspaces counts fewer than two of
+	// each, and most pass as within their share (TestEarlyRefusalManyIngresses).
+	demandSpan = 6 * time.Second
 	// sharesAge is how often idle workspaces are taken off the sum of weights.
 	sharesAge = 100 * time.Millisecond
 	// maxWorkspaces bounds the workspaces counted on a route. Others count as
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -361,7 +361,7 @@
 
 // TestEarlyRefusalManyIngresses guards against early refusal that saves less than
 // half of the wasted work when each of many ingresses has few requests, so that
-// hints are rare. It is in KNOWN-RED.txt.
+// hints and counts are rare.
 func TestEarlyRefusalManyIngresses(t *testing.T) {
 	none, f := simulate(100, 1, admitAll), simulate(100, 1, byPressure)
 	atLeast(t, "waste saved", none.wasted()/f.wasted(), 2)
