Trace each answer by request ID: late, failed, repeated, over its share

Lines late, failed, served at the caller's node, slow beside the backend server, repeat and over_share with the inputs that decided.

--- a/internal/obs/log_test.go
+++ b/internal/obs/log_test.go
@@ -87,6 +87,45 @@
 	}
 }
 
+// TestServedComeLast guards against lines about served requests that crowd out
+// refusals, and against their loss going unsaid.
+func TestServedComeLast(t *testing.T) {
+	var out lockedBuffer
+	log := slog.New(Limit(slog.NewTextHandler(&out, nil)))
+	for range 1000 {
+		log.Debug("served")
+	}
+	served := strings.Count(out.String(), "msg=served")
+	if want := burstLines / 4; served < want || served > want+2 {
+		t.Errorf("%d lines about served requests at one moment, want %d", served, want)
+	}
+	for range 10 {
+		log.Info("refused")
+	}
+	if got := strings.Count(out.String(), "msg=refused"); got != 10 {
+		t.Errorf("%d of 10 refusals were written", got)
+	}
+	if strings.Contains(out.String(), " dropped_before=") {
+		t.Error("served requests count as dropped lines")
+	}
+	time.Sleep(time.Second)
+	log.Debug("served")
+	if !strings.Contains(out.String(), "served_dropped_before=") {
+		t.Error("lines about served requests were dropped unsaid")
+	}
+}
+
+// TestServedFollowTheLevel guards against lines about served requests where the
+// operator wants warnings only.
+func TestServedFollowTheLevel(t *testing.T) {
+	var out lockedBuffer
+	log := slog.New(Limit(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: slog.LevelWarn})))
+	log.Debug("served")
+	if out.String() != "" {
+		t.Errorf("got %q", out.String())
+	}
+}
+
 // TestErrorsAreOneLine guards against stack traces in the log, which cost more than
 // the work that they are about.
 func TestErrorsAreOneLine(t *testing.T) {
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -83,6 +83,10 @@
 	arrivals int // backend servers that got it
 	runs     int // those that ran it, or may have
 	full     int // nodes that had no room for it
+
+	places   int           // nodes it was offered to
+	last     string        // the last of them
+	lastTook time.Duration // until that one had answered
 }
 
 func (p *progress) note(a *hop.Answer) {
@@ -110,9 +114,11 @@
 		}
 		tried = append(tried, at.id)
 		last.Close()
+		sent := time.Now()
 		last = n.try(ctx, at, c, p.arrivals > 0)
+		p.places, p.last, p.lastTook = len(tried), at.id, time.Since(sent)
 		p.note(last)
-		if !n.again(ctx, c, route, last, p) {
+		if !n.again(ctx, c, route, last, &p) {
 			break
 		}
 	}
@@ -120,6 +126,7 @@
 		n.requests.Warn("no backend server for a call", "event", "unplaced", "id", c.ID, "route", c.Route, "service", c.Service)
 		return hop.Refused(request.ReasonNoBackend, shortReturn)
 	}
+	n.logEnd(c, last, &p)
 	if f := last.Refusal; f != nil && f.Outcome == request.NotRun && f.RetryAfter <= 0 {
 		f.RetryAfter = shortReturn
 	}
@@ -127,7 +134,7 @@
 }
 
 // again decides whether another backend server may get the call.
-func (n *Node) again(ctx context.Context, c *hop.Call, route *catalog.Route, a *hop.Answer, p progress) bool {
+func (n *Node) again(ctx context.Context, c *hop.Call, route *catalog.Route, a *hop.Answer, p *progress) bool {
 	outcome := request.Completed
 	if a.Refusal != nil {
 		outcome = a.Refusal.Outcome
@@ -146,7 +153,12 @@
 	case outcome != request.Completed && !retry.MayRetry(outcome, c.Idempotent):
 		return false
 	}
-	return p.arrivals == 0 || n.budgets.take(n, budget{c.Service, p.runs > 0})
+	if p.arrivals == 0 {
+		return true
+	}
+	allowed := n.budgets.take(n, budget{c.Service, p.runs > 0})
+	n.logRepeat(c, a, p, allowed)
+	return allowed
 }
 
 // try offers the call to one place.
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/standin"
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -162,7 +163,7 @@
 	c.t.Helper()
 	c.settings(n.settings)
 	n.log = &logBuffer{}
-	log := slog.New(slog.NewTextHandler(n.log, nil))
+	log := obs.NewLogger(n.log, slog.LevelInfo, n.settings.Node)
 	node, err := New(log, n.settings)
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -127,6 +127,7 @@
 	if refusal != nil {
 		return &hop.Answer{Refusal: refusal}
 	}
+	arrived := time.Now()
 	wait, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	leave, refusal := g.line.enter(wait, c)
@@ -142,10 +143,12 @@
 		return a
 	}
 	started := time.Since(g.began)
+	waited := time.Since(arrived)
 	g.n.behind.started(c)
 	a, result := g.send(ctx, addr, c)
 	g.n.behind.ended(c)
 	leave(result)
+	g.logSlow(c, waited, time.Since(arrived)-waited)
 	a.Downstream = a.Refusal == nil && a.Status >= 500 && g.callFailedAt.Load() > int64(started)
 	finish(a.Refusal == nil)
 	return a
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -88,6 +88,7 @@
 		return &hop.Answer{Refusal: &refusal}
 	}
 	if !n.tokens.take(ctx, c.Workspace) {
+		n.logOverShare(c, ws)
 		return hop.Refused(request.ReasonOverShare, overShareReturn)
 	}
 	a := n.attempts(ctx, c, route)
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -46,6 +46,8 @@
 	accounts *share.Accounts
 	bank     *share.Bank
 	waiters  []chan struct{}
+	heardAt  time.Time // when the bank last answered, or the start
+	heardOf  string    // the node that kept it then
 
 	pausedUntil map[string]time.Time // banks that did not answer; owned by run
 }
@@ -54,6 +56,7 @@
 	return &tokens{
 		n: n, log: n.log, wake: make(chan struct{}, 1),
 		accounts: share.NewAccounts(), bank: share.NewBank(), pausedUntil: map[string]time.Time{},
+		heardAt: time.Now(),
 	}
 }
 
@@ -125,7 +128,7 @@
 	if len(sent) == 0 {
 		return
 	}
-	grants, err := t.ask(ctx, sent)
+	grants, keeper, err := t.ask(ctx, sent)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if err != nil {
@@ -133,11 +136,13 @@
 		t.n.metrics.Counter("teaselseam_share_exchange_failures_total").Inc()
 		return
 	}
-	t.accounts.Granted(time.Now(), sent, grants)
+	t.heardAt, t.heardOf = time.Now(), keeper
+	t.accounts.Granted(t.heardAt, sent, grants)
 }
 
-// ask sends the message to the first member in order that has answered lately.
-func (t *tokens) ask(ctx context.Context, sent []share.Transfer) ([]share.Grant, error) {
+// ask sends the message to the first member in order that has answered lately, and
+// returns that member's name.
+func (t *tokens) ask(ctx context.Context, sent []share.Transfer) (grants []share.Grant, keeper string, err error) {
 	now := time.Now()
 	for i, m := range fleet.Order(t.keepers(), bankPurpose) {
 		if i >= banks {
@@ -147,17 +152,17 @@
 			continue
 		}
 		if m.Node == t.n.settings.Node {
-			return t.handle(sent), nil
+			return t.handle(sent), m.Node, nil
 		}
-		grants, err := t.post(ctx, m.Address, sent)
+		grants, err = t.post(ctx, m.Address, sent)
 		if err != nil {
 			t.pausedUntil[m.Node] = now.Add(bankPause)
 			t.log.Warn("bank of tokens did not answer", "event", "share", "peer", m.Node, "err", err)
-			return nil, err
+			return nil, "", err
 		}
-		return grants, nil
+		return grants, m.Node, nil
 	}
-	return nil, fmt.Errorf("no bank of tokens can be reached")
+	return nil, "", fmt.Errorf("no bank of tokens can be reached")
 }
 
 // keepers are the members that are not about to stop.
@@ -219,3 +224,16 @@
 	w.Header()["Date"] = nil
 	_, _ = w.Write(answer) // a lost answer loses its tokens, which keeps the bound
 }
+
+// bankNews is what a node last heard of the bank of tokens.
+type bankNews struct {
+	keeper string // node that kept it; empty if it never answered
+	ago    time.Duration
+}
+
+// state returns the node's tokens of a workspace and its news of the bank.
+func (t *tokens) state(workspace string) (float64, bankNews) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.accounts.Tokens(workspace), bankNews{keeper: t.heardOf, ago: time.Since(t.heardAt)}
+}
