Count calls to the store, attempts, waits and runs by kind as histograms

Each family has at most 64 series. teaselseam_request_seconds{route,result} replaces the summary and its counter.

--- a/internal/obs/metrics.go
+++ b/internal/obs/metrics.go
@@ -3,21 +3,18 @@
 import (
 	"fmt"
 	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/teaselseam/teaselseam/internal/request"
 )
 
-// Metrics are a node's metrics. docs/operations/metrics.md lists them.
+// Metrics are a node's metrics. docs/OPERATIONS.md lists them.
 type Metrics struct {
 	set *metrics.Set
 
-	completed *metrics.Counter
-	duration  *metrics.Summary
-	attempts  *metrics.Counter
-	retries   *metrics.Counter
+	attempts *metrics.Counter
+	retries  *metrics.Counter
 
 	mu      sync.Mutex
 	refused map[refusalKey]*metrics.Counter
@@ -33,12 +30,10 @@
 func NewMetrics() *Metrics {
 	set := metrics.NewSet()
 	return &Metrics{
-		set:       set,
-		completed: set.NewCounter("teaselseam_requests_completed_total"),
-		duration:  set.NewSummary("teaselseam_request_duration_seconds"),
-		attempts:  set.NewCounter("teaselseam_attempts_total"),
-		retries:   set.NewCounter("teaselseam_retries_total"),
-		refused:   map[refusalKey]*metrics.Counter{},
+		set:      set,
+		attempts: set.NewCounter("teaselseam_attempts_total"),
+		retries:  set.NewCounter("teaselseam_retries_total"),
+		refused:  map[refusalKey]*metrics.Counter{},
 	}
 }
 
@@ -51,12 +46,6 @@
 // Counter registers a counter.
 func (m *Metrics) Counter(name string) *metrics.Counter { return m.set.GetOrCreateCounter(name) }
 
-// Completed counts a request that got a complete answer.
-func (m *Metrics) Completed(d time.Duration) {
-	m.completed.Inc()
-	m.duration.Update(d.Seconds())
-}
-
 // Attempt counts one attempt at a guard; retry tells whether it is an extra one.
 func (m *Metrics) Attempt(retry bool) {
 	m.attempts.Inc()
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -130,6 +130,7 @@
 		n.requests.Warn("no backend server for a call", "event", "unplaced", "id", c.ID, "route", c.Route, "service", c.Service)
 		return hop.Refused(request.ReasonNoBackend, shortReturn)
 	}
+	n.times.requests.Observe(c.Route, resultNames[kindOf(last)], time.Since(c.Arrived))
 	n.logEnd(c, last, &p)
 	if f := last.Refusal; f != nil && f.Outcome == request.NotRun && f.RetryAfter <= 0 {
 		f.RetryAfter = shortReturn
@@ -208,8 +209,10 @@
 	if fromBackend(a) {
 		n.patience.answered(c.Route, took)
 	}
+	kind := kindOf(a)
+	n.times.attempts.Observe(c.Service, resultNames[kind], took)
 	n.places.done(c.Service, at.id, routing.Result{
-		Kind: kindOf(a), Latency: took, Draining: draining(a), Load: report(a.Load), Silent: !fromBackend(a),
+		Kind: kind, Latency: took, Draining: draining(a), Load: report(a.Load), Silent: !fromBackend(a),
 	})
 	return a
 }
@@ -221,6 +224,7 @@
 	if err.Ended {
 		kind, reason = routing.Cancelled, request.ReasonDeadline
 	}
+	n.times.attempts.Observe(c.Service, resultNames[kind], took)
 	n.places.done(c.Service, at.id, routing.Result{Kind: kind, Latency: took, Silent: true})
 	n.requests.Warn("no answer of a node", "event", "peer_lost", "id", c.ID, "route", c.Route, "peer", at.address,
 		"sent", err.Sent, "took", took, "err", err.Err)
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -131,10 +131,13 @@
 	wait, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
 	leave, refusal := g.line.enter(wait, c)
+	waited := time.Since(arrived)
 	if refusal != nil {
+		g.n.times.waits.Observe(c.Route, "refused", waited)
 		finish(false)
 		return &hop.Answer{Refusal: refusal, Elsewhere: true}
 	}
+	g.n.times.waits.Observe(c.Route, "started", waited)
 	// The backend server may have left while the call waited.
 	addr, a := g.address(c)
 	if a != nil {
@@ -143,12 +146,13 @@
 		return a
 	}
 	started := time.Since(g.began)
-	waited := time.Since(arrived)
 	g.n.behind.started(c)
 	a, result := g.send(ctx, addr, c)
 	g.n.behind.ended(c)
 	leave(result)
-	g.logSlow(c, waited, time.Since(arrived)-waited)
+	ran := time.Since(arrived) - waited
+	g.n.times.runs.Observe(c.Route, resultNames[kindOf(a)], ran)
+	g.logSlow(c, waited, ran)
 	a.Downstream = a.Refusal == nil && a.Status >= 500 && g.callFailedAt.Load() > int64(started)
 	finish(a.Refusal == nil)
 	return a
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -46,7 +46,6 @@
 		n.refuse(w, r, h.ID, a.Refusal)
 		return
 	}
-	n.metrics.Completed(time.Since(arrived))
 	hop.WriteToCaller(w, a)
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -1,5 +1,47 @@
 package sidecar
 
+import (
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/obs"
+	"github.com/teaselseam/teaselseam/internal/routing"
+)
+
+// times are the latency histograms of the node. They count as well.
+type times struct {
+	requests *obs.Family // of callers, by route and result
+	attempts *obs.Family // offers to a place, by service and result
+	waits    *obs.Family // for a slot beside this node, by route and result
+	runs     *obs.Family // at the backend server beside this node, by route and result
+	store    *obs.Family // calls to the store, by call with table and result
+}
+
+func newTimes(m *obs.Metrics) times {
+	return times{
+		requests: m.Family("teaselseam_request_seconds", "route", "result"),
+		attempts: m.Family("teaselseam_attempt_seconds", "service", "result"),
+		waits:    m.Family("teaselseam_backend_wait_seconds", "route", "result"),
+		runs:     m.Family("teaselseam_backend_run_seconds", "route", "result"),
+		store:    m.Family("teaselseam_store_call_seconds", "call", "result"),
+	}
+}
+
+// resultNames are the labels of results.
+var resultNames = map[routing.Kind]string{
+	routing.Completed: "completed", routing.Refused: "refused", routing.Failed: "failed", routing.Cancelled: "cancelled",
+}
+
+func (n *Node) observeStore(call, table string, took time.Duration, err error) {
+	result := "answered"
+	if err != nil {
+		result = "failed"
+	}
+	if table != "" {
+		call += " " + table
+	}
+	n.times.store.Observe(call, result, took)
+}
+
 // registerMetrics registers the figures that are read when the metrics are served.
 // Their number does not depend on the size of the fleet or of the configuration.
 // docs/OPERATIONS.md lists them.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -62,6 +62,7 @@
 	incarnation string
 	store       *platform.Store
 	metrics     *obs.Metrics
+	times       times
 
 	knowledge *knowledge
 	guard     *guard
@@ -97,6 +98,8 @@
 		metrics:     obs.NewMetrics(),
 		peers:       hop.NewPool(peerDial, peerIdle),
 	}
+	n.times = newTimes(n.metrics)
+	n.store.Observe = n.observeStore
 	n.knowledge = newKnowledge(n)
 	n.crashes = newCrashes(log, n.spreadCrash)
 	n.behind = newBehind()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -319,7 +319,7 @@
 // TestNodeStandsStill guards against requests that wait for their deadlines at a node
 // that takes them and answers nothing, while another one is idle.
 func TestNodeStandsStill(t *testing.T) {
-	c := prepareCluster(t, "mill", "press", "stock", "press", "stock") // both of stock are near
+	c := prepareCluster(t, "mill", "press", "stock", "press", "stock")    // both of stock are near
 	c.settings = func(s *platform.Settings) { s.Bounds.RetryExtra = 500 } // a repeat for each of the callers
 	c.start()
 	var still atomic.Bool
