Ask a quiet node whether it is there before its calls are given up

Cause: that no answer had come within the usual time was taken for silence. A backend server that is slow, or has only one long call of this node, looks the same as a node that stands still. An overdue call now makes its node be asked (once for all calls, 200 ms); a node that answers keeps its calls. A node that stops gives no calls up any more.

--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -92,5 +92,5 @@
 	Latency  time.Duration // from sending the call to its end
 	Draining bool          // the response says that the endpoint is leaving
 	Load     *Report       // nil if the response carries none
-	Silent   bool          // nothing came from the backend server
+	Silent   bool          // nothing came from the endpoint's node
 }
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -42,7 +42,7 @@
 	rampFrom     time.Time
 
 	heardAt time.Time // when an answer of any kind last came
-	silent  bool      // a call is overdue and nothing came since it was sent
+	silent  bool      // its node stands still or cannot be reached
 	backAt  time.Time // when the last silence ended
 	probeAt time.Time // when a silent endpoint gets its next call
 }
@@ -115,7 +115,9 @@
 // observe records the end of a call, except for ejection.
 func (s *state) observe(now time.Time, r Result) {
 	s.inFlight = max(s.inFlight-1, 0)
-	s.observeSilence(now, r)
+	if !r.Silent {
+		s.hear(now)
+	}
 	s.observeLatency(now, r)
 	if r.Kind != Cancelled {
 		bad := 0.0
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -9,24 +9,30 @@
 // rareProbe is how many pauses later a call that may not be repeated is used.
 const rareProbe = 3
 
-// Overdue takes the news that a call sent to an endpoint at the given time has not
-// been answered for unusually long. It returns true if nothing at all has come from
-// the backend server since: it, its node or the way there stands still, and the endpoint
-// gets only probes until it answers. A refusal by the node's queue is no sign of life,
-// since the queue fills when the backend server stands still. An endpoint that answers
-// other calls is only slow with this one.
-func (p *Picker) Overdue(now time.Time, id string, sent time.Time) bool {
+// Quiet returns how long nothing has come from an endpoint's node. A node that has left
+// the fleet has been quiet for ever.
+func (p *Picker) Quiet(now time.Time, id string) time.Duration {
 	s := p.byID[id]
 	if s == nil {
-		return true // it has left the fleet
+		return math.MaxInt64
 	}
-	if !s.heardAt.Before(sent) {
-		return false
+	return now.Sub(s.heardAt)
+}
+
+// Heard takes a sign of life of an endpoint's node other than the end of a call.
+func (p *Picker) Heard(now time.Time, id string) {
+	if s := p.byID[id]; s != nil {
+		s.hear(now)
 	}
-	if !s.silent {
+}
+
+// Silent takes the news that an endpoint's node stands still or cannot be reached: a
+// call is overdue and the node does not answer the question whether it is there. The
+// endpoint gets only probes until something comes from it.
+func (p *Picker) Silent(now time.Time, id string) {
+	if s := p.byID[id]; s != nil && !s.silent {
 		s.silent, s.probeAt = true, now.Add(p.cfg.ProbeEvery)
 	}
-	return true
 }
 
 // Alternative tells whether an endpoint that is not excluded and not silent can be
@@ -43,24 +49,6 @@
 	return false
 }
 
-func (s *state) observeSilence(now time.Time, r Result) {
-	if r.Silent {
-		return
-	}
-	if s.silent {
-		s.silent, s.backAt = false, now
-	}
-	s.heardAt = now
-}
-
-// duringSilence tells whether a call that ends now was at the endpoint while that was
-// silent. Its time says nothing about the endpoint's speed: counted as latency, a pause
-// of some seconds would keep calls away from the endpoint for many more.
-func (s *state) duringSilence(now time.Time, r Result) bool {
-	sent := now.Add(-r.Latency)
-	return r.Silent && s.heardAt.Before(sent) || sent.Before(s.backAt)
-}
-
 // Probe returns a silent endpoint whose next call is due and counts a call in flight
 // there, as Pick does. A call that may not be repeated is a probe only if no other has
 // come for long.
@@ -80,6 +68,21 @@
 	return "", false
 }
 
+func (s *state) hear(now time.Time) {
+	if s.silent {
+		s.silent, s.backAt = false, now
+	}
+	s.heardAt = now
+}
+
+// duringSilence tells whether a call that ends now was at the endpoint while that was
+// silent. Its time says nothing about the endpoint's speed: counted as latency, a pause
+// of some seconds would keep calls away from the endpoint for many more.
+func (s *state) duringSilence(now time.Time, r Result) bool {
+	sent := now.Add(-r.Latency)
+	return r.Silent && s.heardAt.Before(sent) || sent.Before(s.backAt)
+}
+
 // leastSilent stands in when every endpoint is silent: the one with the fewest calls
 // in flight.
 func (p *Picker) leastSilent(exclude []string) *state {
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -170,7 +170,7 @@
 // one. It takes a retry when it returns true.
 func (n *Node) leaveRule(c *hop.Call, route *catalog.Route, p progress, tried []string) func() bool {
 	return func() bool {
-		return c.Idempotent && c.Body.Repeatable() && p.runs+1 < route.MaxAttempts && len(tried) < maxPlaces &&
+		return c.Idempotent && !n.stopping.Load() && c.Body.Repeatable() && p.runs+1 < route.MaxAttempts && len(tried) < maxPlaces &&
 			n.places.alternative(c.Service, tried) && n.budgets.take(n, budget{c.Service, true})
 	}
 }
@@ -212,7 +212,7 @@
 	kind := kindOf(a)
 	n.times.attempts.Observe(c.Service, resultNames[kind], took)
 	n.places.done(c.Service, at.id, routing.Result{
-		Kind: kind, Latency: took, Draining: draining(a), Load: report(a.Load), Silent: !fromBackend(a),
+		Kind: kind, Latency: took, Draining: draining(a), Load: report(a.Load),
 	})
 	return a
 }
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -32,6 +32,7 @@
 	keys     map[string]string // workspace by key
 	rates    map[string]float64
 	settings func(*platform.Settings)
+	peers    func(*testNode, http.Handler) http.Handler // around what a node serves to peers
 }
 
 type route struct {
@@ -106,6 +107,7 @@
 		t: t, store: s, address: strings.TrimPrefix(server.URL, "http://"),
 		keys: map[string]string{"key-guild": "guild"}, rates: map[string]float64{},
 		settings: func(*platform.Settings) {},
+		peers:    func(_ *testNode, h http.Handler) http.Handler { return h },
 	}
 	for _, service := range services {
 		c.routes = append(c.routes,
@@ -168,6 +170,11 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	for _, s := range node.servers {
+		if s.name == "peers" {
+			s.Handler = c.peers(n, s.Handler)
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.node, n.stop, n.stopped = node, cancel, make(chan error, 1)
 	stopped := n.stopped
--- a/internal/sidecar/places.go
+++ b/internal/sidecar/places.go
@@ -129,13 +129,22 @@
 	}
 }
 
-// overdue takes the news that a call sent to a place has no answer yet and tells whether
-// nothing at all came from there since.
-func (p *places) overdue(service, id string, sent time.Time) bool {
+// quiet returns how long nothing has come from a place.
+func (p *places) quiet(service, id string) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	picker := p.pickers[service]
-	return picker != nil && picker.Overdue(time.Now(), id, sent)
+	return p.pickers[service].Quiet(time.Now(), id)
+}
+
+// asked takes the answer to the question whether a place is there.
+func (p *places) asked(service, id string, there bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if there {
+		p.pickers[service].Heard(time.Now(), id)
+		return
+	}
+	p.pickers[service].Silent(time.Now(), id)
 }
 
 // alternative tells whether a place that has not been tried answers.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -26,6 +26,7 @@
 	"github.com/google/uuid"
 	"github.com/samber/oops"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/obs"
@@ -73,6 +74,7 @@
 	peers     *hop.Pool
 	budgets   budgets
 	patience  patience
+	asks      singleflight.Group // questions to nodes whether they are there
 	behind    *behind
 
 	began     time.Time
@@ -120,6 +122,7 @@
 func (n *Node) listen() error {
 	peers := http.NewServeMux()
 	peers.HandleFunc(exchangePath, n.tokens.serve)
+	peers.HandleFunc(therePath, serveThere)
 	peers.HandleFunc("/", n.guard.serve)
 	control := http.HandlerFunc(n.serveControl)
 	lc := net.ListenConfig{KeepAliveConfig: hop.KeepAlive, Control: hop.SetUserTimeout}
--- a/internal/sidecar/silence.go
+++ b/internal/sidecar/silence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,12 @@
 	// stallMargin is how late the look may be before it is put off: this process then
 	// stood still itself and has not yet read the answers that came meanwhile.
 	stallMargin = 50 * time.Millisecond
+	// quietFor is how long a node must have been quiet to be asked whether it is there.
+	quietFor = 200 * time.Millisecond
+	// thereTimeout is some round trips between data centres (3 ms) and the time that a
+	// busy node may take to be scheduled.
+	thereTimeout = 200 * time.Millisecond
+	therePath    = "/teaselseam/there"
 )
 
 // patience knows how long answers on each route take. It is safe for concurrent use.
@@ -91,20 +98,51 @@
 	if w.state.Load() != watching {
 		return
 	}
-	now := time.Now()
-	stalled := now.Sub(w.due) > stallMargin
-	if !stalled && w.n.places.overdue(w.c.Service, w.at.id, w.sent) && w.leave(now) {
+	stalled := time.Since(w.due) > stallMargin
+	if !stalled && w.n.places.quiet(w.c.Service, w.at.id) >= quietFor && !w.there() && w.leave(time.Now()) {
 		return
 	}
-	w.due = now.Add(recheckEvery)
+	w.due = time.Now().Add(recheckEvery)
 	w.timer.Reset(recheckEvery)
 }
 
+// there asks the node whether it is there, once for all calls that are overdue at it. A
+// slow backend server does not keep its node from answering, so that a call that is being
+// worked on is not given up.
+func (w *watch) there() bool {
+	there, _, _ := w.n.asks.Do(w.at.id, func() (any, error) { return w.ask(), nil })
+	return there.(bool)
+}
+
+func (w *watch) ask() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), thereTimeout)
+	defer cancel()
+	a, err := w.n.peers.Post(ctx, w.at.address, therePath, nil)
+	if err == nil && a.Status == http.StatusNoContent {
+		w.n.places.asked(w.c.Service, w.at.id, true)
+		return true
+	}
+	w.n.places.asked(w.c.Service, w.at.id, false)
+	why := "unexpected status"
+	if err != nil {
+		why = err.Error()
+	}
+	w.n.requests.Warn("node does not say that it is there", "event", "silent", "id", w.c.ID, "route", w.c.Route,
+		"peer", w.at.id, "waited", time.Since(w.sent), "err", why)
+	return false
+}
+
+// serveThere answers the question whether the node is there.
+func serveThere(w http.ResponseWriter, _ *http.Request) {
+	w.Header()["Date"] = nil
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (w *watch) leave(now time.Time) bool {
 	if !w.mayLeave() || !w.state.CompareAndSwap(watching, left) {
 		return false
 	}
-	w.n.requests.Warn("call given up at a silent node", "event", "silent", "id", w.c.ID, "route", w.c.Route,
+	w.n.requests.Warn("call given up at a silent node", "event", "given_up", "id", w.c.ID, "route", w.c.Route,
 		"peer", w.at.id, "waited", now.Sub(w.sent))
 	w.cancel()
 	return true
