Ask a silent node again instead of probing it with live calls

A probe by a live call costs that call up to 0.4 s and a retry, once a second from each node of the fleet to each node that stands still. The question whether the node is there costs neither, so it is repeated (0.25 to 1 s) until the node answers or has left; the endpoint gets no call meanwhile. An answer that comes at the moment at which a call is given up is delivered.

--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -27,7 +27,6 @@
 	EjectRate     float64       // share of failures that ejects an endpoint
 	EjectBase     time.Duration // length of the first ejection
 	EjectMax      time.Duration // bound of the length; also the time that clears the count
-	ProbeEvery    time.Duration // pause between single calls to a silent endpoint
 }
 
 // DefaultConfig returns the defaults for an ingress in a fleet of the given size.
@@ -39,7 +38,7 @@
 		Memory: 5 * time.Second, ReportMemory: 500 * time.Millisecond,
 		TrustBusy: 0.5, TrustIdle: 0.2,
 		SlowStart: 10 * time.Second, EjectFailures: 5, EjectRate: 0.5,
-		EjectBase: 5 * time.Second, EjectMax: 5 * time.Minute, ProbeEvery: time.Second,
+		EjectBase: 5 * time.Second, EjectMax: 5 * time.Minute,
 	}
 }
 
@@ -48,7 +47,7 @@
 	if c.Ingresses < 1 || c.LocalIngresses < 1 || c.MaxSubset < 1 || c.DefaultSlots < 1 || c.MaxSlots < 1 || c.EjectFailures < 1 {
 		return fmt.Errorf("a count of the routing configuration is below 1: %+v", c)
 	}
-	if c.Memory <= 0 || c.ReportMemory <= 0 || c.SlowStart <= 0 || c.EjectBase <= 0 || c.ProbeEvery <= 0 || c.EjectMax < c.EjectBase {
+	if c.Memory <= 0 || c.ReportMemory <= 0 || c.SlowStart <= 0 || c.EjectBase <= 0 || c.EjectMax < c.EjectBase {
 		return fmt.Errorf("a time of the routing configuration is out of range: %+v", c)
 	}
 	if c.TrustIdle < 0 || c.TrustIdle > c.TrustBusy || c.TrustBusy > 0.5 {
--- a/internal/routing/doc.go
+++ b/internal/routing/doc.go
@@ -33,9 +33,9 @@
 // An endpoint whose node stands still takes calls and answers none, and until their
 // deadlines nothing tells it apart from an idle one. A node that has been quiet for a
 // while (Quiet) when a call to it is overdue is therefore asked whether it is there. If
-// it does not answer, the endpoint is silent and gets only a probe in a while (Probe),
-// until something comes from it. A slow backend server is not silent, since its node
-// answers. When all are silent, the one with the fewest calls in flight is used.
+// it does not answer, the endpoint is silent and gets no call until something comes from
+// it; the question is repeated meanwhile. A slow backend server is not silent, since its
+// node answers. When all are silent, the one with the fewest calls in flight is used.
 //
 // An endpoint that started recently, or returns from ejection, is drawn with a
 // probability that rises over the slow start time. An endpoint that keeps failing
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -44,7 +44,6 @@
 	heardAt time.Time // when an answer of any kind last came
 	silent  bool      // its node stands still or cannot be reached
 	backAt  time.Time // when the last silence ended
-	probeAt time.Time // when a silent endpoint gets its next call
 }
 
 // fade is 1 at age zero and 0.5 at the half age.
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -6,9 +6,6 @@
 	"time"
 )
 
-// rareProbe is how many pauses later a call that may not be repeated is used.
-const rareProbe = 3
-
 // Quiet returns how long nothing has come from an endpoint's node. A node that has left
 // the fleet has been quiet for ever.
 func (p *Picker) Quiet(now time.Time, id string) time.Duration {
@@ -28,11 +25,15 @@
 
 // Silent takes the news that an endpoint's node stands still or cannot be reached: a
 // call is overdue and the node does not answer the question whether it is there. The
-// endpoint gets only probes until something comes from it.
-func (p *Picker) Silent(now time.Time, id string) {
-	if s := p.byID[id]; s != nil && !s.silent {
-		s.silent, s.probeAt = true, now.Add(p.cfg.ProbeEvery)
+// endpoint gets no call until something comes from it (Heard, Done), unless all are
+// silent. Silent returns true if this was not known.
+func (p *Picker) Silent(id string) bool {
+	s := p.byID[id]
+	if s == nil || s.silent {
+		return false
 	}
+	s.silent = true
+	return true
 }
 
 // Alternative tells whether an endpoint that is not excluded and not silent can be
@@ -49,25 +50,6 @@
 	return false
 }
 
-// Probe returns a silent endpoint whose next call is due and counts a call in flight
-// there, as Pick does. A call that may not be repeated is a probe only if no other has
-// come for long.
-func (p *Picker) Probe(now time.Time, repeatable bool) (string, bool) {
-	if !repeatable {
-		now = now.Add(-rareProbe * p.cfg.ProbeEvery)
-	}
-	for _, tier := range [][]*state{p.tiers.local, p.tiers.remote} {
-		for _, s := range tier {
-			if s.silent && !now.Before(s.probeAt) {
-				s.probeAt = now.Add(p.cfg.ProbeEvery)
-				s.inFlight++
-				return s.ID, true
-			}
-		}
-	}
-	return "", false
-}
-
 func (s *state) hear(now time.Time) {
 	if s.silent {
 		s.silent, s.backAt = false, now
--- a/internal/routing/silence_test.go
+++ b/internal/routing/silence_test.go
@@ -36,16 +36,12 @@
 				p.Done(now, c.id, Result{Kind: Cancelled, Latency: age, Silent: true})
 				continue
 			case age == 200*time.Millisecond:
-				p.Silent(now, c.id)
+				p.Silent(c.id)
 			}
 			kept = append(kept, c)
 		}
 		pending = kept
-		id, ok := p.Probe(now, true)
-		if !ok {
-			id, ok = p.Pick(now, rnd, nil)
-		}
-		if ok {
+		if id, ok := p.Pick(now, rnd, nil); ok {
 			pending = append(pending, call{id, now})
 			sent[id]++
 		}
@@ -72,11 +68,12 @@
 	l := &load{p: fourEndpoints(now)}
 	l.play(now, time.Second, nil)
 	now = now.Add(time.Second)
-	// 200 ms until the first call is overdue, with a quarter of 20 calls, then one a second.
-	if got := l.play(now, 5*time.Second, map[string]bool{"b": true})["b"]; got > 20/2+5 {
+	// 200 ms until the first call is overdue, with a quarter of 20 calls.
+	if got := l.play(now, 5*time.Second, map[string]bool{"b": true})["b"]; got > 20/2 {
 		t.Errorf("%d of 500 calls went to the endpoint that stands still", got)
 	}
 	now = now.Add(5 * time.Second)
+	l.p.Heard(now, "b")
 	if got := l.play(now, 5*time.Second, nil)["b"]; got < 60 {
 		t.Errorf("%d of 500 calls went to the endpoint after it answers again, want about 100", got)
 	}
@@ -106,7 +103,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	p := fourEndpoints(now)
 	for _, id := range []string{"a", "b", "c", "d"} {
-		p.Silent(now.Add(time.Second), id)
+		p.Silent(id)
 	}
 	if p.Alternative(now.Add(time.Second), []string{"a"}) {
 		t.Error("a silent endpoint counts as an alternative")
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -108,7 +108,7 @@
 	var last *hop.Answer
 	var p progress
 	for len(tried) < maxPlaces {
-		at, ok := n.places.pick(c, tried)
+		at, ok := n.places.pick(c.Service, tried)
 		if !ok {
 			break
 		}
@@ -166,29 +166,6 @@
 	return allowed
 }
 
-// leaveRule returns the rule by which a call that a silent node has goes to another
-// one. It takes a retry when it returns true.
-func (n *Node) leaveRule(c *hop.Call, route *catalog.Route, p progress, tried []string) func() bool {
-	return func() bool {
-		return c.Idempotent && !n.stopping.Load() && c.Body.Repeatable() && p.runs+1 < route.MaxAttempts && len(tried) < maxPlaces &&
-			n.places.alternative(c.Service, tried) && n.budgets.take(n, budget{c.Service, true})
-	}
-}
-
-// tryWatched is try, but gives the call up where its node has fallen silent and
-// mayLeave allows it.
-func (n *Node) tryWatched(ctx context.Context, at place, c *hop.Call, again bool, mayLeave func() bool) (a *hop.Answer, gaveUp bool) {
-	if n.places.isLocal(at) {
-		return n.try(ctx, at, c, again), false
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	w := n.watch(c, at, mayLeave, cancel)
-	a = n.try(ctx, at, c, again)
-	gaveUp = w.end()
-	cancelWith(a, cancel)
-	return a, gaveUp
-}
-
 // try offers the call to one place.
 func (n *Node) try(ctx context.Context, at place, c *hop.Call, again bool) *hop.Answer {
 	n.metrics.Attempt(again)
--- a/internal/sidecar/places.go
+++ b/internal/sidecar/places.go
@@ -97,23 +97,15 @@
 	}
 }
 
-// pick chooses a place that has not been tried. A silent one is probed by calls that
-// may be repeated.
-func (p *places) pick(c *hop.Call, tried []string) (place, bool) {
+// pick chooses a place that has not been tried.
+func (p *places) pick(service string, tried []string) (place, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	picker := p.pickers[c.Service]
+	picker := p.pickers[service]
 	if picker == nil {
 		return place{}, false
 	}
-	now := time.Now()
-	id, ok := "", false
-	if len(tried) == 0 {
-		id, ok = picker.Probe(now, c.Idempotent)
-	}
-	if !ok {
-		id, ok = picker.Pick(now, p.rnd, tried)
-	}
+	id, ok := picker.Pick(time.Now(), p.rnd, tried)
 	if !ok {
 		return place{}, false
 	}
@@ -136,15 +128,19 @@
 	return p.pickers[service].Quiet(time.Now(), id)
 }
 
-// asked takes the answer to the question whether a place is there.
-func (p *places) asked(service, id string, there bool) {
+// heard takes a sign of life of a place.
+func (p *places) heard(service, id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if there {
-		p.pickers[service].Heard(time.Now(), id)
-		return
-	}
-	p.pickers[service].Silent(time.Now(), id)
+	p.pickers[service].Heard(time.Now(), id)
+}
+
+// silent takes the news that a place does not say that it is there, and returns true if
+// this was not known.
+func (p *places) silent(service, id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pickers[service].Silent(id)
 }
 
 // alternative tells whether a place that has not been tried answers.
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -335,8 +335,8 @@
 	c.sendMany(8, 20) // until the usual time is known
 	still.Store(true)
 	slow, failed := c.sendMany(8, 40)
-	// One of each sender until the silence shows, then a probe a second.
-	if slow > 8+2 || failed > 0 {
+	// One of each sender until the silence shows.
+	if slow > 8 || failed > 0 {
 		t.Errorf("of 320 requests %d waited for the node that stands still, %d failed", slow, failed)
 	}
 	if slow == 0 {
--- a/internal/sidecar/silence.go
+++ b/internal/sidecar/silence.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/catalog"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/retry"
 )
@@ -24,6 +27,9 @@
 	// busy node may take to be scheduled.
 	thereTimeout = 200 * time.Millisecond
 	therePath    = "/teaselseam/there"
+	// Pauses between the questions to a silent node. Nodes stand still for some seconds.
+	minReturnPause = 250 * time.Millisecond
+	maxReturnPause = time.Second
 )
 
 // patience knows how long answers on each route take. It is safe for concurrent use.
@@ -56,6 +62,32 @@
 	return p.of(route).For()
 }
 
+// leaveRule returns the rule by which a call that a silent node has goes to another
+// one. It takes a retry when it returns true.
+func (n *Node) leaveRule(c *hop.Call, route *catalog.Route, p progress, tried []string) func() bool {
+	return func() bool {
+		return c.Idempotent && !n.stopping.Load() && c.Body.Repeatable() && p.runs+1 < route.MaxAttempts && len(tried) < maxPlaces &&
+			n.places.alternative(c.Service, tried) && n.budgets.take(n, budget{c.Service, true})
+	}
+}
+
+// tryWatched is try, but gives the call up where its node has fallen silent and
+// mayLeave allows it.
+func (n *Node) tryWatched(ctx context.Context, at place, c *hop.Call, again bool, mayLeave func() bool) (a *hop.Answer, gaveUp bool) {
+	if n.places.isLocal(at) {
+		return n.try(ctx, at, c, again), false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	w := n.watch(c, at, mayLeave, cancel)
+	a = n.try(ctx, at, c, again)
+	gaveUp = w.end()
+	cancelWith(a, cancel)
+	if fromBackend(a) && a.Rest == nil {
+		return a, false // it came at the last moment
+	}
+	return a, gaveUp
+}
+
 // watch looks at a call that another node has and that is overdue.
 type watch struct {
 	n        *Node
@@ -110,26 +142,49 @@
 // slow backend server does not keep its node from answering, so that a call that is being
 // worked on is not given up.
 func (w *watch) there() bool {
-	there, _, _ := w.n.asks.Do(w.at.id, func() (any, error) { return w.ask(), nil })
+	there, _, _ := w.n.asks.Do(w.at.id, func() (any, error) {
+		err := w.n.ask(w.at)
+		if err == nil {
+			w.n.places.heard(w.c.Service, w.at.id)
+			return true, nil
+		}
+		if w.n.places.silent(w.c.Service, w.at.id) {
+			w.n.requests.Warn("node does not say that it is there", "event", "silent", "id", w.c.ID, "route", w.c.Route,
+				"peer", w.at.id, "waited", time.Since(w.sent), "err", err)
+			go w.n.awaitReturn(w.c.Service, w.at)
+		}
+		return false, nil
+	})
 	return there.(bool)
 }
 
-func (w *watch) ask() bool {
+// awaitReturn asks a silent node until it is there or has left the fleet.
+func (n *Node) awaitReturn(service string, at place) {
+	for pause := minReturnPause; ; pause = min(2*pause, maxReturnPause) {
+		time.Sleep(pause)
+		if n.closing.Load() || n.places.quiet(service, at.id) == math.MaxInt64 {
+			return
+		}
+		if n.ask(at) == nil {
+			n.places.heard(service, at.id)
+			n.log.Info("silent node is there again", "event", "silent", "peer", at.id)
+			return
+		}
+	}
+}
+
+// ask asks a node whether it is there.
+func (n *Node) ask(at place) error {
 	ctx, cancel := context.WithTimeout(context.Background(), thereTimeout)
 	defer cancel()
-	a, err := w.n.peers.Post(ctx, w.at.address, therePath, nil)
-	if err == nil && a.Status == http.StatusNoContent {
-		w.n.places.asked(w.c.Service, w.at.id, true)
-		return true
-	}
-	w.n.places.asked(w.c.Service, w.at.id, false)
-	why := "unexpected status"
+	a, err := n.peers.Post(ctx, at.address, therePath, nil)
 	if err != nil {
-		why = err.Error()
+		return err
+	}
+	if a.Status != http.StatusNoContent {
+		return fmt.Errorf("unexpected status %d", a.Status)
 	}
-	w.n.requests.Warn("node does not say that it is there", "event", "silent", "id", w.c.ID, "route", w.c.Route,
-		"peer", w.at.id, "waited", time.Since(w.sent), "err", why)
-	return false
+	return nil
 }
 
 // serveThere answers the question whether the node is there.
