--- a/internal/routing/doc.go
+++ b/internal/routing/doc.go
@@ -32,9 +32,9 @@
 //
 // An endpoint whose node stands still takes calls and answers none, and until their
 // deadlines nothing tells it apart from an idle one. A node that has been quiet for a
-// while (Quiet) when a call to it is overdue is therefore asked whether it is there. If
-// it does not answer, the endpoint is silent and gets no call until something comes from
-// it; the question is repeated meanwhile. A slow backend server is not silent, since its
+// while (Quiet) when a call to it is overdue therefore gets a liveness check. If it fails,
+// the endpoint is silent and gets no call until something comes from it; the check is
+// repeated meanwhile. A slow backend server is not silent, since its
 // node answers. When all are silent, the one with the fewest calls in flight is used.
 //
 // An endpoint that started recently, or returns from ejection, is drawn with a
--- a/internal/routing/silence.go
+++ b/internal/routing/silence.go
@@ -24,7 +24,7 @@
 }
 
 // Silent takes the news that an endpoint's node stands still or cannot be reached: a
-// call is overdue and the node does not answer the question whether it is there. The
+// call is overdue and the node fails the liveness check. The
 // endpoint gets no call until something comes from it (Heard, Done), unless all are
 // silent. Silent returns true if this was not known.
 func (p *Picker) Silent(id string) bool {
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -27,6 +27,8 @@
 	}
 }
 
+// logAnswer writes the line about an answer. The event comes as key and value, so that
+// the test of the operations page finds its name in the code.
 func (n *Node) logAnswer(level slog.Level, text string, c *hop.Call, a *hop.Answer, p *progress, took time.Duration, event ...any) {
 	if !n.requests.Enabled(context.Background(), level) {
 		return // its arguments would cost more than the line is worth
--- a/internal/sidecar/places.go
+++ b/internal/sidecar/places.go
@@ -135,8 +135,8 @@
 	p.pickers[service].Heard(time.Now(), id)
 }
 
-// silent takes the news that a place does not say that it is there, and returns true if
-// this was not known.
+// silent takes the news that a place fails the liveness check, and returns true if this
+// was not known.
 func (p *places) silent(service, id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -65,17 +65,17 @@
 	metrics     *obs.Metrics
 	times       times
 
-	knowledge *knowledge
-	guard     *guard
-	places    *places
-	tokens    *tokens
-	member    *memberRow
-	crashes   *crashes
-	peers     *hop.Pool
-	budgets   budgets
-	patience  patience
-	asks      singleflight.Group // questions to nodes whether they are there
-	behind    *behind
+	knowledge      *knowledge
+	guard          *guard
+	places         *places
+	tokens         *tokens
+	member         *memberRow
+	crashes        *crashes
+	peers          *hop.Pool
+	budgets        budgets
+	patience       patience
+	livenessChecks singleflight.Group // by place
+	behind         *behind
 
 	began     time.Time
 	stopping  atomic.Bool
@@ -122,7 +122,7 @@
 func (n *Node) listen() error {
 	peers := http.NewServeMux()
 	peers.HandleFunc(exchangePath, n.tokens.serve)
-	peers.HandleFunc(therePath, serveThere)
+	peers.HandleFunc(livenessPath, serveLiveness)
 	peers.HandleFunc("/", n.guard.serve)
 	control := http.HandlerFunc(n.serveControl)
 	lc := net.ListenConfig{KeepAliveConfig: hop.KeepAlive, Control: hop.SetUserTimeout}
