--- a/internal/obs/log_test.go
+++ b/internal/obs/log_test.go
@@ -135,3 +135,24 @@
 		t.Errorf("got %q", got)
 	}
 }
+
+// BenchmarkRequestLine is a line about a request that is written, one that finds no room,
+// and one about a served request that finds none.
+func BenchmarkRequestLine(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		level slog.Level
+		room  float64
+	}{{"written", slog.LevelInfo, burstLines}, {"dropped", slog.LevelInfo, 0}, {"served, dropped", slog.LevelDebug, 0}} {
+		b.Run(c.name, func(b *testing.B) {
+			l := Limit(NewLogger(io.Discard, slog.LevelInfo, "node-0").Handler()).(limited)
+			log := slog.New(l)
+			b.ReportAllocs()
+			for b.Loop() {
+				l.tokens, l.at = c.room, time.Now()
+				log.Log(b.Context(), c.level, "request served", "event", "served", "id", "r000001", "route", "view-mill", "workspace", "guild",
+					"status", 200, "took", time.Millisecond, "aim", time.Second, "peer", "i-node-1", "places", 1, "arrivals", 1)
+			}
+		})
+	}
+}
