--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -65,5 +65,6 @@
 func (n *Node) logOverShare(c *hop.Call, ws *catalog.Workspace) {
 	tokens, bank := n.tokens.state(ws.Name)
 	n.requests.Info("workspace has no token", "event", "over_share", "id", c.ID, "workspace", ws.Name,
-		"rate", ws.Rate, "burst", ws.Burst, "tokens", tokens, "members", len(*n.knowledge.members.Load()), "bank", bank.keeper, "bank_heard_ago", bank.ago)
+		"rate", ws.Rate, "burst", ws.Burst, "tokens", tokens,
+		"members", len(*n.knowledge.members.Load()), "bank", bank.keeper, "bank_heard_ago", bank.ago)
 }
