Derive the reported load in one place and compute it only where it is used

The figures that ride on answers were put together three times (sidecar, model, test of early refusal): pressure.LoadOf serves all. Both waits were computed for each answer although one is used, and the time to return for each arriving call although only refused ones get it; both walk the queue under its lock. The members that are not about to stop were filtered in two places (knowledge.serving). Behaviour stays: the tests of early refusal and of the model give the same figures, the known red ones included.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -341,22 +341,26 @@
 // Load is the state of the queue.
 type Load struct {
 	Limit, Running, Waiting int
-	Wait                    time.Duration // until what waits has started
-	CallWait                time.Duration // until the calls that wait have started
 }
 
 // Load returns the present figures.
 func (q *Queue) Load() Load {
-	return Load{
-		Limit: int(q.limit), Running: q.running, Waiting: q.Waiting(),
-		Wait:     time.Duration((q.work(q.calls) + q.work(q.roots)) / q.limit),
-		CallWait: time.Duration(q.workBefore(true, len(q.calls)) / q.limit),
-	}
+	return Load{Limit: int(q.limit), Running: q.running, Waiting: q.Waiting()}
+}
+
+// Drained returns the time until all that waits has started.
+func (q *Queue) Drained() time.Duration {
+	return time.Duration((q.work(q.calls) + q.work(q.roots)) / q.limit)
+}
+
+// CallsStarted returns the time until the calls that wait have started.
+func (q *Queue) CallsStarted() time.Duration {
+	return time.Duration(q.workBefore(true, len(q.calls)) / q.limit)
 }
 
 // ReturnAfter is when a refused caller may come back: when what waits has
 // started, spread so that those who are refused together do not return together.
 func (q *Queue) ReturnAfter() time.Duration {
-	after := min(max(q.Load().Wait, minReturn), maxReturn)
+	after := min(max(q.Drained(), minReturn), maxReturn)
 	return after + time.Duration(q.rnd.Float64()*float64(after))
 }
--- a/internal/model/gate.go
+++ b/internal/model/gate.go
@@ -134,15 +134,7 @@
 func (g *dispatchGate) restart() { g.q = dispatch.New(g.slots, g.rnd) }
 
 func (g *dispatchGate) report(a *attempt) pressure.Load {
-	f := g.q.Load()
-	wait := f.Wait
-	if inner(a) {
-		wait = f.CallWait
-	}
-	return pressure.Load{
-		Limit: f.Limit, Running: f.Running, Queued: f.Waiting, Wait: wait,
-		ServiceTime: g.q.Cost(routeName(a)), AcceptRatio: 1,
-	}
+	return pressure.LoadOf(g.q, routeName(a), inner(a))
 }
 
 func owners(ts []*dispatch.Ticket) []*attempt {
--- a/internal/pressure/hint.go
+++ b/internal/pressure/hint.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/dispatch"
 	"github.com/teaselseam/teaselseam/internal/request"
 )
 
@@ -28,6 +29,20 @@
 	AcceptRatio float64
 }
 
+// LoadOf returns the figures that ride on the response to a call of the route. The wait
+// is that of the line in which such a call waits; inner tells whether it was made by a
+// backend server.
+func LoadOf(q *dispatch.Queue, route string, inner bool) Load {
+	f := q.Load()
+	l := Load{Limit: f.Limit, Running: f.Running, Queued: f.Waiting, ServiceTime: q.Cost(route), AcceptRatio: 1}
+	if inner {
+		l.Wait = q.CallsStarted()
+	} else {
+		l.Wait = q.Drained()
+	}
+	return l
+}
+
 // Hint returns the hint that stands for the load of a service's guard.
 func (l Load) Hint(service string) Hint {
 	return Hint{
--- a/internal/pressure/line_test.go
+++ b/internal/pressure/line_test.go
@@ -84,13 +84,7 @@
 	return nil, dispatchOwners(l.q.Tick(now))
 }
 
-func (l *dispatchLine) load(q *graphRequest) Load {
-	f := l.q.Load()
-	return Load{
-		Limit: f.Limit, Running: f.Running, Queued: f.Waiting, Wait: f.CallWait,
-		ServiceTime: l.q.Cost(q.Route), AcceptRatio: 1,
-	}
-}
+func (l *dispatchLine) load(q *graphRequest) Load { return LoadOf(l.q, q.Route, true) }
 
 func dispatchOwners(ts []*dispatch.Ticket) []*graphRequest {
 	var out []*graphRequest
--- a/internal/sidecar/confirm.go
+++ b/internal/sidecar/confirm.go
@@ -136,13 +136,7 @@
 
 // confirmAge is the age at which this node asks the store.
 func (k *knowledge) confirmAge() time.Duration {
-	var serving []*fleet.Member
-	for _, m := range *k.members.Load() {
-		if m.Serving {
-			serving = append(serving, m)
-		}
-	}
-	for i, m := range fleet.Order(serving, confirmPurpose) {
+	for i, m := range fleet.Order(k.serving(), confirmPurpose) {
 		if i >= confirmers {
 			break
 		}
--- a/internal/sidecar/knowledge.go
+++ b/internal/sidecar/knowledge.go
@@ -195,6 +195,17 @@
 	}
 }
 
+// serving returns the members that are not about to stop.
+func (k *knowledge) serving() []*fleet.Member {
+	var out []*fleet.Member
+	for _, m := range *k.members.Load() {
+		if m.Serving {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // fleetPause is the time for which changes of the fleet are collected.
 func (k *knowledge) fleetPause() time.Duration {
 	pause := time.Duration(len(*k.members.Load())) * pausePerMember
--- a/internal/sidecar/line.go
+++ b/internal/sidecar/line.go
@@ -46,12 +46,14 @@
 		t.Owner = turn
 	}
 	signal(evicted, false)
-	after := l.queue.ReturnAfter()
+	var refusal *request.Refusal
+	if verdict == dispatch.Refuse {
+		refusal = l.refusal(request.ReasonOverload)
+	}
 	l.mu.Unlock()
 	switch verdict {
 	case dispatch.Refuse:
-		refusal := request.Refuse(request.ReasonOverload, after)
-		return nil, &refusal
+		return nil, refusal
 	case dispatch.Wait:
 		pace.Wake(l.wake)
 		if refusal := l.await(ctx, t, turn); refusal != nil {
@@ -80,6 +82,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.refusal(reason)
+}
+
+// refusal says when the call may come back. It needs mu.
+func (l *line) refusal(reason request.Reason) *request.Refusal {
 	r := request.Refuse(reason, l.queue.ReturnAfter())
 	return &r
 }
@@ -126,18 +133,10 @@
 	l.queue.SetMaxWait(d)
 }
 
-// load returns the figures that ride on the answer to a call of the route: those
-// of the line in which it waits.
+// load returns the figures that ride on the answer to a call of the route.
 func (l *line) load(route string, inner bool) *pressure.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	f := l.queue.Load()
-	wait := f.Wait
-	if inner {
-		wait = f.CallWait
-	}
-	return &pressure.Load{
-		Limit: f.Limit, Running: f.Running, Queued: f.Waiting, Wait: wait,
-		ServiceTime: l.queue.Cost(route), AcceptRatio: 1,
-	}
+	load := pressure.LoadOf(l.queue, route, inner)
+	return &load
 }
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -144,7 +144,7 @@
 // returns that member's name.
 func (t *tokens) ask(ctx context.Context, sent []share.Transfer) (grants []share.Grant, keeper string, err error) {
 	now := time.Now()
-	for i, m := range fleet.Order(t.keepers(), bankPurpose) {
+	for i, m := range fleet.Order(t.n.knowledge.serving(), bankPurpose) {
 		if i >= banks {
 			break
 		}
@@ -165,17 +165,6 @@
 	return nil, "", fmt.Errorf("no bank of tokens can be reached")
 }
 
-// keepers are the members that are not about to stop.
-func (t *tokens) keepers() []*fleet.Member {
-	var out []*fleet.Member
-	for _, m := range *t.n.knowledge.members.Load() {
-		if m.Serving {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 func (t *tokens) post(ctx context.Context, addr string, sent []share.Transfer) ([]share.Grant, error) {
 	body, err := json.Marshal(sent)
 	if err != nil {
