Close the connections of rejected responses, bound heads and bodies without end

Cause: Pool.do kept the connection of a response that is well framed, and only then was the response rejected (unsigned, no ID, encoded, broken node headers), so the next request went out on it. A head had no bound in size or time, a body of unknown length none but the deadline, and the body of a response that is no answer was read before it was rejected. Headers of nodes sent by a backend server were taken for its node's: a forged Teaselseam-Refusal claimed that a call that had run had not. A chunked request body whose source fails left its connection open. Change: responses are checked by their head, before the body is read (exchange.accept); heads have 32 KB and 1 s from their first byte, what does not begin like a response fails at once; bodies of unknown length end after 8 MB; Teaselseam-* headers of callers and backend servers are removed.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -17,6 +19,16 @@
 	writeBuffer = 2 << 10
 )
 
+// Bounds of the head of a response, so that a faulty peer that sends without end is
+// noticed at once and costs little memory. The longest heads of backend servers are
+// below 2 KB.
+const (
+	maxHeadBytes = 32 << 10
+	// maxHeadTime runs from the first byte of the head. It allows for the
+	// retransmission of lost packets.
+	maxHeadTime = time.Second
+)
+
 // NewDialer returns a dialer whose connections fail within a few seconds once the
 // peer stops responding.
 func NewDialer(timeout time.Duration) *net.Dialer {
@@ -40,21 +52,99 @@
 	return errors.Join(ctlErr, err)
 }
 
+// conn is a client connection. Its deadlines are set through begin, cancel and
+// limitHead only, so that a cancelled exchange never gets more time.
 type conn struct {
 	net.Conn
-	r               *bufio.Reader
+	r               *bufio.Reader // reads from received
+	received        *meteredReader
 	w               *bufio.Writer
 	raw             syscall.RawConn
 	expiresAt       time.Time     // not reused after this time
 	lastUsed        time.Time     // end of the last exchange
 	peerIdleTimeout time.Duration // idle timeout announced by the peer; zero if it announced none
+
+	mu        sync.Mutex
+	deadline  time.Time // of the current exchange; zero if it has none
+	cancelled bool
+}
+
+func newConn(nc net.Conn) *conn {
+	received := &meteredReader{r: nc, remaining: unmetered}
+	return &conn{
+		Conn: nc, received: received,
+		r: bufio.NewReaderSize(received, readBuffer), w: bufio.NewWriterSize(nc, writeBuffer),
+	}
 }
 
-func setDeadline(ctx context.Context, c *conn) {
+// begin sets the deadline of the next exchange from ctx.
+func (c *conn) begin(ctx context.Context) {
 	d, _ := ctx.Deadline() // the zero time clears the deadline
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = d
 	c.SetDeadline(d)
 }
 
+// cancel makes the current exchange fail.
+func (c *conn) cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelled = true
+	c.SetDeadline(time.Unix(1, 0))
+}
+
+// limitHead bounds the size of the response head that is read next and the time that
+// the rest of it takes.
+func (c *conn) limitHead() {
+	c.received.remaining = maxHeadBytes
+	c.setReadDeadline(time.Now().Add(maxHeadTime))
+}
+
+// unlimitHead ends the bounds of limitHead: a body has the time of its exchange.
+func (c *conn) unlimitHead() {
+	c.received.remaining = unmetered
+	c.setReadDeadline(time.Time{})
+}
+
+// setReadDeadline sets the read deadline to t, or to that of the exchange if that is
+// earlier or t is zero.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancelled {
+		return
+	}
+	if t.IsZero() || !c.deadline.IsZero() && c.deadline.Before(t) {
+		t = c.deadline
+	}
+	c.SetReadDeadline(t)
+}
+
+// unmetered is the value of meteredReader.remaining without a limit.
+const unmetered = -1
+
+// errHeadTooLarge is returned if the head of a response exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("response head exceeds the size limit")
+
+// meteredReader fails once more than a limited number of bytes has been read.
+type meteredReader struct {
+	r         io.Reader
+	remaining int64 // unmetered for no limit
+}
+
+func (m *meteredReader) Read(b []byte) (int, error) {
+	if m.remaining == unmetered {
+		return m.r.Read(b)
+	}
+	if m.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := m.r.Read(b[:min(int64(len(b)), m.remaining)])
+	m.remaining -= int64(n)
+	return n, err
+}
+
 // reusable reports whether an idle connection is still open and has no unread data.
 func (c *conn) reusable() bool {
 	if c.r.Buffered() > 0 || c.raw == nil {
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -22,13 +23,23 @@
 	// maxStaleResponses is how many responses to earlier requests are skipped while
 	// waiting for one response.
 	maxStaleResponses = 2
+	// maxStaleBody is the largest body, in bytes, of a response that is skipped.
+	maxStaleBody = 64 << 10
+	// maxUnknownLength bounds the body of a response that states no length, in bytes.
+	// Without it, a faulty peer that never ends its body would hold the connections on
+	// both sides until the deadline.
+	maxUnknownLength = 8 << 20
 	// bodyWriteGrace is how long writing the rest of a request body may take after
 	// the response has arrived.
 	bodyWriteGrace = 100 * time.Millisecond
 )
 
 // errBadResponse is returned if no response to the request was received.
-var errBadResponse = errors.New("received a protocol switch or only responses to other requests")
+var errBadResponse = errors.New("received no response, a protocol switch, or only responses to other requests")
+
+// errResponseTooLarge is returned if a response body without a stated length exceeds
+// maxUnknownLength.
+var errResponseTooLarge = errors.New("response body of unknown length exceeds the size limit")
 
 // Error is the failure of a request/response exchange.
 type Error struct {
@@ -52,6 +63,10 @@
 	call    *Call
 	header  http.Header
 	checkID bool // verify that the response carries the call's ID
+	// accept checks the status and header of the response before its body is read,
+	// and may change them. After an error the exchange has failed and its connection
+	// is closed, since what follows on it belongs to no request. It may be nil.
+	accept func(*Response) error
 	// recentOnly allows reusing only a connection that was used within
 	// maxIdleNonIdempotent. The peer may have silently dropped an older one, and a
 	// non-idempotent request sent on it would fail without a retry.
@@ -65,7 +80,7 @@
 	if err != nil {
 		return nil, &Error{Err: err, ConnRefused: errors.Is(err, syscall.ECONNREFUSED), ContextDone: ctx.Err() != nil}
 	}
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, c.cancel)
 	resp, keep, e := p.roundTrip(c, x)
 	if e != nil {
 		e.ContextDone = ctx.Err() != nil || errors.Is(e.Err, os.ErrDeadlineExceeded)
@@ -151,23 +166,26 @@
 }
 
 func (c *conn) writeBody(b *Body, chunked bool) error {
-	out := io.Writer(c.Conn)
+	var err error
 	if chunked {
-		return writeChunks(c.w, b)
+		err = writeChunks(c.w, b)
+	} else {
+		err = writeFramed(c.Conn, b)
 	}
-	if _, err := out.Write(b.Data); err != nil {
-		return err
+	if err != nil {
+		_ = c.Close() // otherwise the peer would wait for the rest
 	}
-	if b.Rest == nil {
-		return nil
+	return err
+}
+
+func writeFramed(w io.Writer, b *Body) error {
+	if _, err := w.Write(b.Data); err != nil || b.Rest == nil {
+		return err
 	}
-	n, err := io.Copy(out, b.Rest)
+	n, err := io.Copy(w, b.Rest)
 	if err == nil && n != b.Length-int64(len(b.Data)) {
 		err = io.ErrUnexpectedEOF
 	}
-	if err != nil {
-		_ = c.Close() // otherwise the peer would wait for the rest
-	}
 	return err
 }
 
@@ -204,7 +222,7 @@
 func (c *conn) receive(x exchange) (*Response, bool, error) {
 	keep := true
 	for range maxStaleResponses + 1 {
-		httpResp, err := http.ReadResponse(c.r, &http.Request{Method: x.call.Method})
+		httpResp, err := c.readHead(x.call.Method)
 		if err != nil {
 			return nil, false, err
 		}
@@ -228,15 +246,41 @@
 	return nil, false, errBadResponse
 }
 
+// responsePrefix is how a response begins.
+const responsePrefix = "HTTP/1."
+
+// readHead waits for a response and reads its head.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	if _, err := c.r.Peek(1); err != nil {
+		return nil, err
+	}
+	if !c.headBuffered() {
+		c.limitHead()
+		defer c.unlimitHead()
+	}
+	if start, err := c.r.Peek(len(responsePrefix)); err != nil {
+		return nil, err
+	} else if string(start) != responsePrefix {
+		return nil, errBadResponse
+	}
+	return http.ReadResponse(c.r, &http.Request{Method: method})
+}
+
+// headBuffered reports whether the whole head of the response has arrived.
+func (c *conn) headBuffered() bool {
+	data, _ := c.r.Peek(c.r.Buffered()) // cannot fail for what is buffered
+	return bytes.Contains(data, []byte("\r\n\r\n"))
+}
+
 // discardBody reads and discards the body of a response to an earlier request. It
 // returns false if the end of the body cannot be determined or the body is larger
-// than MaxBufferedBody.
+// than maxStaleBody.
 func discardBody(httpResp *http.Response) bool {
-	if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 {
+	if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 || httpResp.ContentLength > maxStaleBody {
 		return false
 	}
-	n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, MaxBufferedBody))
-	return err == nil && n < MaxBufferedBody
+	n, err := io.Copy(io.Discard, io.LimitReader(httpResp.Body, maxStaleBody))
+	return err == nil && n < maxStaleBody
 }
 
 // readBody reads the body of a response and returns whether the connection may be
@@ -244,6 +288,11 @@
 func (c *conn) readBody(x exchange, httpResp *http.Response, keep bool) (*Response, bool, error) {
 	framed := httpResp.ContentLength >= 0 || len(httpResp.TransferEncoding) > 0
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength}
+	if x.accept != nil {
+		if err := x.accept(resp); err != nil {
+			return nil, false, err
+		}
+	}
 	if x.call.Method == http.MethodHead {
 		return resp, keep && !httpResp.Close && c.r.Buffered() == 0, nil
 	}
@@ -254,6 +303,10 @@
 	resp.Body = data
 	if !whole {
 		resp.Rest = httpResp.Body
+		if httpResp.ContentLength < 0 {
+			rest := &limitedReader{r: httpResp.Body, remaining: maxUnknownLength - int64(len(data)), exceeded: errResponseTooLarge}
+			resp.Rest = io.NopCloser(rest) // do adds the Close that ends the connection
+		}
 		return resp, false, nil
 	}
 	resp.Length = int64(len(data))
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -12,26 +12,40 @@
 	"github.com/teaselseam/teaselseam/internal/request"
 )
 
-// Headers between nodes. CallHeader is removed from callers' requests.
+// headerPrefix begins the names of all headers between nodes.
+const headerPrefix = "Teaselseam-"
+
+// RemoveNodeHeaders removes the headers between nodes. What a caller or a backend server
+// sends under their names has no meaning: a forged refusal, for example, would claim
+// that a call that has run has not.
+func RemoveNodeHeaders(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// Headers between nodes. Callers and backend servers cannot set them.
 const (
 	// CallHeader holds what the caller's node has determined about a call:
 	// importance, idempotent (0 or 1), ms until the deadline, ms until the latency
 	// target, then the escaped route, service, workspace, caller and target, separated
 	// by spaces.
-	CallHeader = "Teaselseam-Call"
+	CallHeader = headerPrefix + "Call"
 	// RefusalHeader marks a refusal by a node: reason, outcome, ms until the caller
 	// may retry, RetryElsewhere and ReachedBackend, separated by spaces.
-	RefusalHeader = "Teaselseam-Refusal"
+	RefusalHeader = headerPrefix + "Refusal"
 	// downstreamHeader marks a backend server's failure that followed the failure of
 	// one of its internal calls (Response.DownstreamFailed).
-	downstreamHeader = "Teaselseam-Downstream"
+	downstreamHeader = headerPrefix + "Downstream"
 	// askConfigHeader requests configHeader on the response.
-	askConfigHeader = "Teaselseam-Ask-Config"
+	askConfigHeader = headerPrefix + "Ask-Config"
 	// configHeader holds a ConfigFreshness: the version and the age in ms, separated
 	// by a space.
-	configHeader = "Teaselseam-Config"
-	loadHeader   = "Teaselseam-Load"  // load at the node beside the backend server
-	hintsHeader  = "Teaselseam-Hints" // load of services downstream of the backend server
+	configHeader = headerPrefix + "Config"
+	loadHeader   = headerPrefix + "Load"  // load at the node beside the backend server
+	hintsHeader  = headerPrefix + "Hints" // load of services downstream of the backend server
 )
 
 // callFields is the number of fields in CallHeader.
@@ -103,7 +117,8 @@
 }
 
 // readNodeHeaders reads the headers of a response from another node and removes them.
-func (resp *Response) readNodeHeaders(h http.Header) error {
+func (resp *Response) readNodeHeaders() error {
+	h := resp.Header
 	if v := h.Get(loadHeader); v != "" {
 		l, err := pressure.ParseLoad(v)
 		if err != nil {
@@ -127,11 +142,7 @@
 	}
 	resp.DownstreamFailed = h.Get(downstreamHeader) != ""
 	v := h.Get(RefusalHeader)
-	delete(h, configHeader)
-	delete(h, downstreamHeader)
-	delete(h, loadHeader)
-	delete(h, hintsHeader)
-	delete(h, RefusalHeader)
+	RemoveNodeHeaders(h)
 	if v == "" {
 		return nil
 	}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -40,7 +39,7 @@
 			break
 		}
 		if now.Before(c.expiresAt) && c.reusable() {
-			setDeadline(ctx, c)
+			c.begin(ctx)
 			return c, nil
 		}
 		_ = c.Close() // expired, closed by the peer, or with unexpected data
@@ -52,14 +51,14 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	c := &conn{Conn: nc, r: bufio.NewReaderSize(nc, readBuffer), w: bufio.NewWriterSize(nc, writeBuffer)}
+	c := newConn(nc)
 	if sc, ok := nc.(syscall.Conn); ok {
 		if c.raw, err = sc.SyscallConn(); err != nil {
 			_ = nc.Close() // never used, so nothing can be lost
 			return nil, err
 		}
 	}
-	setDeadline(ctx, c)
+	c.begin(ctx)
 	return c, nil
 }
 
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -106,6 +106,8 @@
 		t.Run(name, func(t *testing.T) {
 			s := serve(t, func(c net.Conn, _ *http.Request) bool {
 				io.WriteString(c, text)
+				// The node must close the connection by itself: the peer may do so late.
+				time.Sleep(20 * time.Millisecond)
 				return false
 			}, respond(response("r2", "ok")))
 			p := newTestPool()
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -20,14 +20,10 @@
 	if c.AskConfig {
 		h[askConfigHeader] = []string{"1"}
 	}
-	resp, err := p.do(ctx, exchange{addr: addr, call: c, header: h})
+	resp, err := p.do(ctx, exchange{addr: addr, call: c, header: h, accept: (*Response).readNodeHeaders})
 	if err != nil {
 		return nil, err
 	}
-	if err := resp.readNodeHeaders(resp.Header); err != nil {
-		resp.Close()
-		return nil, &Error{Sent: true, Err: err}
-	}
 	if resp.Refusal == nil {
 		resp.ReachedBackend = true
 	}
@@ -45,11 +41,18 @@
 	platform.SetBackendRequestHeader(h, platform.BackendRequestHeader{
 		Remaining: time.Until(c.Deadline), Workspace: c.Workspace, Caller: c.Caller, Target: c.Target,
 	})
-	resp, err := p.do(ctx, exchange{addr: addr, call: c, header: h, checkID: true, recentOnly: !c.Idempotent})
+	var rh platform.ResponseHeader
+	resp, err := p.do(ctx, exchange{
+		addr: addr, call: c, header: h, checkID: true, recentOnly: !c.Idempotent,
+		accept: func(resp *Response) error {
+			RemoveNodeHeaders(resp.Header)
+			rh = platform.ReadResponseHeader(resp.Status, resp.Header)
+			return checkResponse(c, resp.Status, &rh)
+		},
+	})
 	if err != nil {
 		return nil, err
 	}
-	rh := platform.ReadResponseHeader(resp.Status, resp.Header)
 	if rh.NotRun {
 		resp.Close()
 		reason := request.ReasonOverload
@@ -60,24 +63,23 @@
 		refused.ReachedBackend, refused.RetryElsewhere, refused.ReportedLoad = true, true, rh.Load
 		return refused, nil
 	}
-	if e := checkResponse(c, resp, &rh); e != nil {
-		resp.Close()
-		return nil, &Error{Sent: true, Err: e}
-	}
 	resp.ReachedBackend, resp.ReportedLoad = true, rh.Load
 	return resp, nil
 }
 
 // checkResponse rejects responses that are not the backend server's own, unmodified
-// response to the call.
-func checkResponse(c *Call, resp *Response, rh *platform.ResponseHeader) error {
+// response to the call. A statement that the call has not run needs no signature.
+func checkResponse(c *Call, status int, rh *platform.ResponseHeader) error {
+	if rh.NotRun {
+		return nil
+	}
 	if rh.Encoded {
 		return errors.New("backend server response has an unrequested Content-Encoding")
 	}
 	if rh.ID == "" && c.ID != "" {
 		return errors.New("backend server response has no request ID")
 	}
-	if resp.Status < 300 && !rh.Signed {
+	if status < 300 && !rh.Signed {
 		return errors.New("backend server response with a success status is not signed")
 	}
 	return nil
--- a/internal/hop/serve.go
+++ b/internal/hop/serve.go
@@ -30,23 +30,24 @@
 	}
 	rest := io.Reader(r.Body)
 	if limit > 0 && r.ContentLength < 0 {
-		rest = &limitedReader{r: r.Body, remaining: limit - int64(len(data))}
+		rest = &limitedReader{r: r.Body, remaining: limit - int64(len(data)), exceeded: ErrBodyTooLarge}
 	}
 	return Body{Data: data, Rest: rest, Length: r.ContentLength}, nil
 }
 
 // limitedReader fails once the limit is exceeded. Unlike io.LimitedReader it never
-// reports io.EOF there, so that a request that is too long is aborted instead of
-// being passed on truncated.
+// reports io.EOF there, so that a body that is too long is aborted instead of being
+// passed on truncated.
 type limitedReader struct {
 	r         io.Reader
 	remaining int64
+	exceeded  error // returned once more than the remaining bytes were read
 }
 
 func (l *limitedReader) Read(b []byte) (int, error) {
 	n, err := l.r.Read(b)
 	if l.remaining -= int64(n); l.remaining < 0 {
-		return 0, ErrBodyTooLarge
+		return 0, l.exceeded
 	}
 	return n, err
 }
@@ -61,8 +62,7 @@
 		return nil, err
 	}
 	c.AskConfig = len(c.Header[askConfigHeader]) > 0
-	delete(c.Header, CallHeader)
-	delete(c.Header, askConfigHeader)
+	RemoveNodeHeaders(c.Header)
 	body, err := ReadBody(r, 0)
 	if err != nil {
 		return nil, err
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -148,7 +148,7 @@
 		Importance: cat.Importance(route, ws), Idempotent: route.Idempotent,
 		Arrived: arrived, Deadline: arrived.Add(route.EffectiveTimeout(h.Deadline, defaultDeadline) - returnMargin), TargetLatency: route.TargetLatency,
 	}
-	delete(c.Header, hop.CallHeader)
+	hop.RemoveNodeHeaders(c.Header)
 	platform.RemoveTrustedHeaders(c.Header)
 	if ws != nil {
 		c.Workspace = ws.Name
