Acknowledge a leaving backend server only once the store has it; wait for the stand-in's address

Change: an announcement of leaving gets 503 until the store has the state, after at most 0.8 s (the platform repeats it; acknowledgements count within a second). The soak waits until the address of a backend server that it ends is free. Measured: without the change TestDrainNeedsStore and TestBackendReplacedAtOnce fail every time, with it both pass.

--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -34,8 +34,10 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// serveAnnouncement applies an announcement. It acknowledges that a backend server is
-// draining only after no more requests can start there.
+// serveAnnouncement applies an announcement. It acknowledges that a backend server leaves
+// only after no more requests can start there and the store knows of it, since a node that
+// is restarted after the acknowledgement must not send it any either. Without an
+// acknowledgement the backend server repeats the announcement.
 func (n *Node) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
 	a, err := platform.ReadAnnouncement(r)
 	if err != nil {
@@ -46,11 +48,11 @@
 	if n.guard.applyAnnouncement(*a) {
 		n.log.Info("backend server changed", "event", "backend", "id", a.ID, "state", a.State.String(),
 			"service", a.Service, "slots", a.Slots, "sequence", a.Sequence, "born", a.Born)
-		if a.State == platform.Ready {
-			n.member.scheduleUpdate()
-		} else {
-			n.member.waitUntilStored()
-		}
+		n.member.scheduleUpdate()
+	}
+	if a.State != platform.Ready && n.guard.leaving(a.ID) && !n.member.waitUntilStored() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	platform.AcknowledgeAnnouncement(w)
 }
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -54,6 +54,14 @@
 	return g.server.Announcement
 }
 
+// leaving reports whether the node has learned that the backend server with this ID is
+// draining or gone.
+func (g *guard) leaving(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.server.ID == id && !g.server.Ready()
+}
+
 // restore sets the state of the backend server that an earlier process has stored.
 func (g *guard) restore(a platform.Announcement) {
 	g.mu.Lock()
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/fleet"
@@ -12,21 +13,24 @@
 
 const (
 	storeWriteTimeout = time.Second
-	// drainPersistTimeout bounds how long the acknowledgement of a draining backend server
-	// waits until the store has the new state. A node that is restarted right after the
-	// acknowledgement then still knows it.
-	drainPersistTimeout = 400 * time.Millisecond
+	// drainPersistTimeout bounds how long the response to the announcement of a draining
+	// backend server waits until the store has the new state. An acknowledgement counts
+	// if it arrives within a second.
+	drainPersistTimeout = 800 * time.Millisecond
 )
 
 // memberRow keeps the node's row in the fleet table up to date.
 type memberRow struct {
-	n      *Node
-	wake   chan struct{}
-	stored chan fleet.Member // latest row acknowledged by the store
+	n    *Node
+	wake chan struct{}
+
+	mu      sync.Mutex
+	stored  fleet.Member  // latest row that the store is known to have
+	changed chan struct{} // closed when stored is set
 }
 
 func newMemberRow(n *Node) *memberRow {
-	return &memberRow{n: n, wake: make(chan struct{}, 1), stored: make(chan fleet.Member, 1)}
+	return &memberRow{n: n, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
 // scheduleUpdate makes run compare the row with the stored one and write it if it differs.
@@ -143,28 +147,35 @@
 }
 
 func (m *memberRow) publishStored(row fleet.Member) {
-	select {
-	case <-m.stored:
-	default:
-	}
-	m.stored <- row
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stored = row
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
-// waitUntilStored waits until the store has the desired row, for at most
-// drainPersistTimeout.
-func (m *memberRow) waitUntilStored() {
+func (m *memberRow) storedBackend() (b fleet.Backend, changed <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stored.Backend, m.changed
+}
+
+// waitUntilStored waits until the store has the state of the backend server, for at most
+// drainPersistTimeout, and reports whether it has.
+func (m *memberRow) waitUntilStored() bool {
 	m.scheduleUpdate()
 	t := time.NewTimer(drainPersistTimeout)
 	defer t.Stop()
 	for {
+		b, changed := m.storedBackend()
+		if b == m.desired().Backend {
+			return true
+		}
 		select {
-		case row := <-m.stored:
-			if row == m.desired() {
-				return
-			}
+		case <-changed:
 		case <-t.C:
-			m.n.log.Warn("store did not confirm in time that the backend server is draining", "event", "member")
-			return
+			m.n.log.Warn("store did not confirm in time that the backend server leaves; not acknowledged", "event", "member")
+			return false
 		}
 	}
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -267,6 +267,33 @@
 	}
 }
 
+// TestDrainNeedsStore guards against acknowledging that a backend server leaves before the
+// store has it: a node that is killed right after would send it requests again.
+func TestDrainNeedsStore(t *testing.T) {
+	for _, notice := range []bool{true, false} {
+		c := newCluster(t, "stock", "stock")
+		leaver := c.nodes[0]
+		c.store.SetFaults(standin.Faults{Down: true})
+		state := "draining"
+		leave := func() { leaver.backend.Drain(t.Context()) }
+		if !notice {
+			state = "gone"
+			leave = func() { leaver.backend.Deregister(t.Context()) }
+		}
+		for range 2 {
+			leave()
+			if leaver.backend.Acknowledged(state) {
+				t.Fatalf("%s was acknowledged while the store was down", state)
+			}
+		}
+		c.store.SetFaults(standin.Faults{})
+		c.eventually(state+" is acknowledged after the store has returned", func() bool {
+			leave()
+			return leaver.backend.Acknowledged(state)
+		})
+	}
+}
+
 // TestNotRunElsewhere guards against failing a request that an overloaded backend server
 // has refused as not run: another one serves it, even if it is not idempotent.
 func TestNotRunElsewhere(t *testing.T) {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,7 +48,7 @@
 	backend           *standin.Backend
 	pastBackends      []*standin.Backend             // earlier ones, kept for the records of what they ran
 	leaveAcknowledged map[*standin.Backend]time.Time // when the node acknowledged that it leaves
-	crashBackend      context.CancelFunc
+	crashBackend      func() // stops the backend server at once and returns when its address is free
 	// lastFaultAt is when an unplanned fault last began or ended on the node.
 	lastFaultAt time.Time
 	sigtermAt   time.Time // last SIGTERM
@@ -216,9 +216,15 @@
 	})
 	b.Intercept(intercept)
 	ctx, cancel := context.WithCancel(context.Background())
-	n.backend, n.crashBackend = b, cancel
+	served := make(chan struct{})
+	n.backend = b
+	n.crashBackend = func() {
+		cancel()
+		<-served // the next backend server listens at the same address
+	}
 	n.mu.Unlock()
 	go func() {
+		defer close(served)
 		if err := b.Serve(ctx); err != nil {
 			fmt.Fprintf(n.fleet.logs, "soak: backend server beside %s: %v\n", n.name, err)
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"net/http"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -17,6 +19,37 @@
 	{seed: 2, planned: true, cause: "short run, planned operations only"},
 }
 
+// TestBackendReplacedAtOnce guards against a backend server that never serves because the
+// listener of the one before it was still open when it started.
+func TestBackendReplacedAtOnce(t *testing.T) {
+	f, err := newFleet(Config{Nodes: 1}, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := f.nodes[0]
+	intercept := func(http.ResponseWriter, *http.Request) bool { return false }
+	n.newBackend(intercept)
+	defer f.close()
+	for range 200 {
+		n.crashBackend()
+		n.newBackend(intercept)
+	}
+	client := &http.Client{Timeout: time.Second}
+	for end := time.Now().Add(2 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		resp, err := client.Get("http://" + n.addresses["server"] + "/")
+		if err == nil {
+			resp.Body.Close()
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+	if logs, err := os.ReadFile(f.logs.Name()); err != nil || len(logs) > 0 {
+		t.Errorf("log has %q, %v; want no failure to listen", logs, err)
+	}
+}
+
 // TestShortSoak checks the guarantees to callers and backend servers with real
 // node processes, signals and link faults.
 func TestShortSoak(t *testing.T) {
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -74,10 +74,12 @@
 	if cfg.Log == nil {
 		cfg.Log = func(string, ...any) {}
 	}
-	return &Backend{
+	b := &Backend{
 		cfg: cfg, born: time.Now().UnixMilli(), state: "ready", acknowledged: map[string]bool{}, conns: map[net.Conn]bool{},
 		slots: make(chan struct{}, cfg.Slots), admitted: make(chan struct{}, cfg.Slots+cfg.Queue),
 	}
+	b.server = &http.Server{Handler: http.HandlerFunc(b.handle), ConnState: b.trackConn}
+	return b
 }
 
 // Intercept calls f for each request that runs. If f returns true, it has written
@@ -103,7 +105,8 @@
 	return b.acknowledged[state]
 }
 
-// Serve accepts requests and sends announcements until ctx ends.
+// Serve accepts requests and sends announcements until ctx ends. The address is free
+// again when it returns.
 func (b *Backend) Serve(ctx context.Context) error {
 	listen := b.cfg.Address
 	if b.cfg.Listen != "" {
@@ -113,7 +116,6 @@
 	if err != nil {
 		return err
 	}
-	b.server = &http.Server{Handler: http.HandlerFunc(b.handle), ConnState: b.trackConn}
 	go b.announcePeriodically(ctx)
 	context.AfterFunc(ctx, b.Crash)
 	if err := b.server.Serve(l); err != http.ErrServerClosed {
