--- a/cmd/teaselseam/inspect.go
+++ b/cmd/teaselseam/inspect.go
@@ -39,6 +39,10 @@
 	fmt.Fprintf(p.out, "node %s: ready %t, stopping %t\n", st.Node, st.Ready, st.Stopping)
 	fmt.Fprintf(p.out, "configuration %d, confirmed as the newest %.1f s ago, workspace keys accepted %t\n",
 		st.ConfigurationVersion, st.ConfigurationAge, st.KeysAccepted)
+	fmt.Fprintf(p.out, "era %d of the store\n", st.StoreEra)
+	if len(st.PendingSettings) > 0 {
+		fmt.Fprintf(p.out, "changed settings that need a restart: %s\n", strings.Join(st.PendingSettings, ", "))
+	}
 	b := st.Backend
 	fmt.Fprintf(p.out, "backend server %s (%s): %s, last announcement %.1f s ago, %d of %d running, %d waiting, expected wait %.3f s\n\n",
 		b.ID, b.Service, b.State, b.SinceAnnouncement, b.Running, b.Limit, b.Waiting, b.QueueWait)
--- a/cmd/teaselseamd/sidecar.go
+++ b/cmd/teaselseamd/sidecar.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/samber/oops"
+
 	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/sidecar"
 	"github.com/teaselseam/teaselseam/platform"
@@ -27,35 +29,39 @@
 
 type sidecarCmd struct{}
 
-// Run runs the node until ctx is cancelled by SIGINT or SIGTERM. On SIGHUP it validates the
-// settings file again but does not apply it.
+// Run runs the node until ctx is cancelled by SIGINT or SIGTERM. It applies the settings
+// file again when that changes.
 func (s *sidecarCmd) Run(ctx context.Context, c *cli) error {
 	path := os.Getenv(platform.SettingsVariable)
-	settings, err := platform.LoadSettings(path)
+	data, err := os.ReadFile(path)
 	if err != nil {
-		return err
+		return oops.With("step", "read settings", "file", path).Wrap(err)
 	}
-	debug.SetGCPercent(gcPercent)
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryBytes)))
+	settings, err := platform.ParseSettings(data)
+	if err != nil {
+		return oops.With("step", "parse settings", "file", path).Wrap(err)
 	}
+	debug.SetGCPercent(gcPercent)
+	setMemoryLimit(settings)
 	out := obs.NewWriter(os.Stdout)
 	defer out.Close(logFlushTimeout)
 	log := obs.NewLogger(out, c.LogLevel, settings.Node)
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
-	go func() {
-		for range sighup {
-			if _, err := platform.LoadSettings(path); err != nil {
-				log.Error("cannot load settings file; the settings in use stay in effect", "event", "reload", "err", err)
-				continue
-			}
-			log.Info("settings file is valid; changes take effect at the next start", "event", "reload")
-		}
-	}()
 	node, err := sidecar.New(log, settings)
 	if err != nil {
 		return err
 	}
+	reload := &reloader{log: log, path: path, last: data, apply: func(next *platform.Settings) {
+		setMemoryLimit(next)
+		node.Reload(next)
+	}}
+	go reload.run(ctx, settingsCheckInterval, sighup)
 	return node.Run(ctx)
 }
+
+func setMemoryLimit(s *platform.Settings) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.MemoryBytes)))
+	}
+}
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -7,6 +7,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -17,7 +18,7 @@
 // run them with a simulated clock.
 var corePackages = []string{
 	"request", "settings", "workspace", "admission", "pressure", "routing", "catalog", "fleet",
-	"retry", "share", "dispatch", "dependency", "backend", "quarantine",
+	"retry", "share", "dispatch", "dependency", "backend", "quarantine", "era",
 }
 
 var bannedImports = map[string]bool{
@@ -33,6 +34,9 @@
 // or goroutine scheduling: tests with a seed could not reproduce their decisions.
 func TestCoreHasNoIO(t *testing.T) {
 	for _, pkg := range corePackages {
+		if _, err := os.Stat(filepath.Join("..", pkg)); err != nil {
+			t.Errorf("core package %s is missing: %v", pkg, err)
+		}
 		eachSourceFile(t, filepath.Join("..", pkg), func(path string, fset *token.FileSet, file *ast.File) {
 			checkImports(t, path, file)
 			checkBody(t, fset, file)
@@ -44,7 +48,7 @@
 	t.Helper()
 	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
 		if err != nil {
-			return nil // skips a core package that does not exist yet
+			return err
 		}
 		if d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return nil
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -69,11 +69,13 @@
 	return m, nil
 }
 
-// View holds the members at the newest known versions of their rows. It is not safe for
-// concurrent use.
+// View holds the members at the newest known versions of their rows. After the store has
+// come back from an older copy, the members known before are kept for a while, until
+// their nodes have written their rows again. It is not safe for concurrent use.
 type View struct {
 	members  map[string]*Member
 	versions map[string]uint64
+	kept     map[string]*Member // from before the store came back; takes precedence
 }
 
 // NewView returns an empty view.
@@ -81,11 +83,34 @@
 	return &View{members: map[string]*Member{}, versions: map[string]uint64{}}
 }
 
+// ReplaceByCopy replaces the rows by those of a store that has come back from an older
+// copy. Members known before are kept as they were until a later change of their row, or
+// until DropKept. Without this, the number of nodes that share the rate of a workspace
+// would fall for a moment, and each would allow itself a larger part.
+func (v *View) ReplaceByCopy(rows []platform.Row) []error {
+	kept := map[string]*Member{}
+	for _, m := range v.Members() {
+		kept[m.Node] = m
+	}
+	errs := v.Replace(rows)
+	v.kept = kept
+	return errs
+}
+
+// DropKept ends the precedence of members known from before the store came back. It
+// returns whether there were any.
+func (v *View) DropKept() bool {
+	had := len(v.kept) > 0
+	v.kept = nil
+	return had
+}
+
 // Replace replaces the view by all rows of the table. It returns the errors of rows that
 // cannot be decoded; the view has no member for them.
 func (v *View) Replace(rows []platform.Row) []error {
 	clear(v.members)
 	clear(v.versions)
+	v.kept = nil
 	return v.Apply(rows)
 }
 
@@ -99,6 +124,7 @@
 			continue
 		}
 		v.versions[r.Key] = r.Version
+		delete(v.kept, r.Key)
 		if r.Deleted {
 			delete(v.members, r.Key)
 			continue
@@ -114,9 +140,9 @@
 	return errs
 }
 
-// Member returns a node's row and its version. The row is nil if the node has none or if
-// it could not be decoded. The version is zero if the view has received no row of the
-// node.
+// Member returns a node's row as the store has it and its version. The row is nil if the
+// node has none or if it could not be decoded. The version is zero if the view has
+// received no row of the node.
 func (v *View) Member(node string) (*Member, uint64) {
 	return v.members[node], v.versions[node]
 }
@@ -124,7 +150,12 @@
 // Members returns all members, sorted by node name.
 func (v *View) Members() []*Member {
 	out := make([]*Member, 0, len(v.members))
-	for _, m := range v.members {
+	for node, m := range v.members {
+		if v.kept[node] == nil {
+			out = append(out, m)
+		}
+	}
+	for _, m := range v.kept {
 		out = append(out, m)
 	}
 	slices.SortFunc(out, func(a, b *Member) int { return cmp.Compare(a.Node, b.Node) })
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -60,6 +60,7 @@
 type ConfigFreshness struct {
 	Version uint64
 	Age     time.Duration
+	Era     uint64 // latest era of the store that the node knows
 }
 
 // Body is a request body. Data holds all of it, or its beginning if Rest is set.
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -44,8 +44,10 @@
 	// configHeader holds a ConfigFreshness: the version and the age in ms, separated
 	// by a space.
 	configHeader = headerPrefix + "Config"
-	loadHeader   = headerPrefix + "Load"  // load at the node beside the backend server
-	hintsHeader  = headerPrefix + "Hints" // load of services downstream of the backend server
+	// eraHeader holds ConfigFreshness.Era beside configHeader.
+	eraHeader   = headerPrefix + "Era"
+	loadHeader  = headerPrefix + "Load"  // load at the node beside the backend server
+	hintsHeader = headerPrefix + "Hints" // load of services downstream of the backend server
 )
 
 // callFields is the number of fields in CallHeader.
@@ -106,6 +108,7 @@
 	if resp.Config != nil {
 		// The age is rounded up, so that it is never understated.
 		h[configHeader] = []string{fmt.Sprintf("%d %d", resp.Config.Version, resp.Config.Age.Milliseconds()+1)}
+		h[eraHeader] = []string{strconv.FormatUint(resp.Config.Era, 10)}
 	}
 	if resp.DownstreamFailed {
 		h[downstreamHeader] = []string{"1"}
@@ -134,7 +137,7 @@
 		resp.Hints = hints
 	}
 	if v := h.Get(configHeader); v != "" {
-		c, err := parseConfigFreshness(v)
+		c, err := parseConfigFreshness(v, h.Get(eraHeader))
 		if err != nil {
 			return err
 		}
@@ -149,7 +152,9 @@
 	return resp.readRefusal(v)
 }
 
-func parseConfigFreshness(v string) (*ConfigFreshness, error) {
+// parseConfigFreshness parses the values of configHeader and eraHeader. Nodes of earlier
+// releases do not send the era.
+func parseConfigFreshness(v, storeEra string) (*ConfigFreshness, error) {
 	version, age, _ := strings.Cut(v, " ")
 	n, err := strconv.ParseUint(version, 10, 64)
 	if err != nil {
@@ -159,7 +164,13 @@
 	if err != nil || ms < 0 {
 		return nil, fmt.Errorf("configuration header %q has no valid age", v)
 	}
-	return &ConfigFreshness{Version: n, Age: time.Duration(ms) * time.Millisecond}, nil
+	c := &ConfigFreshness{Version: n, Age: time.Duration(ms) * time.Millisecond}
+	if storeEra != "" {
+		if c.Era, err = strconv.ParseUint(storeEra, 10, 64); err != nil {
+			return nil, fmt.Errorf("era header %q: %w", storeEra, err)
+		}
+	}
+	return c, nil
 }
 
 func (resp *Response) readRefusal(v string) error {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -139,3 +139,42 @@
 		t.Errorf("audit trail %+v, %v; want one entry", entries, err)
 	}
 }
+
+// TestEditAcrossEras guards against overwriting another operator's change that has the
+// versions of an earlier one, which a store that came back from an older copy gives out
+// again, and against using its configuration version again.
+func TestEditAcrossEras(t *testing.T) {
+	st, store := newStore(t)
+	ctx := context.Background()
+	ann, bob := New(store, "ann"), New(store, "bob")
+	if _, err := ann.Apply(ctx, editFunc(t, treeText)); err != nil {
+		t.Fatal(err)
+	}
+	copied := st.Copy()
+	lost, err := ann.Apply(ctx, editFunc(t, "[workspace guild]\nrate = 30\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var repeated *AuditEntry
+	_, err = ann.Apply(ctx, func(f *FleetConfig) (string, error) {
+		st.ComeBack(copied)
+		var bobErr error
+		if repeated, bobErr = bob.Apply(ctx, editFunc(t, "[workspace guild]\nrate = 40\n")); bobErr != nil {
+			t.Fatal(bobErr)
+		}
+		return editFunc(t, "[workspace guild]\nrate = 50\n")(f)
+	})
+	if !errors.Is(err, ErrConflict) {
+		t.Errorf("a change that was read before the store came back: %v, want %v", err, ErrConflict)
+	}
+	f, err := bob.FleetConfig(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if w := settings.Compile(f.Tree).Workspace("guild"); w.Rate != 40 {
+		t.Errorf("rate is %v, want 40 as written after the store came back", w.Rate)
+	}
+	if repeated.Version <= lost.Version {
+		t.Errorf("configuration version %d is not newer than the lost one %d, which nodes may hold", repeated.Version, lost.Version)
+	}
+}
--- a/internal/operator/store.go
+++ b/internal/operator/store.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/teaselseam/teaselseam/internal/settings"
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -23,7 +25,7 @@
 // Store is the part of the platform's store that the package uses.
 type Store interface {
 	Read(ctx context.Context, table, partition string) (platform.Changes, error)
-	Commit(ctx context.Context, t platform.Transaction) (uint64, []platform.Row, error)
+	Commit(ctx context.Context, t platform.Transaction) (platform.Revision, []platform.Row, error)
 }
 
 // AuditEntry describes one change of the configuration in the audit trail.
@@ -55,6 +57,10 @@
 	*FleetConfig
 	configVersion, treeVersion uint64
 	auditTrail                 []AuditEntry
+	// lastAudit is the row of the newest entry of the audit trail; its key is empty if
+	// there is none.
+	lastAudit platform.Row
+	era       uint64 // of the versions
 }
 
 // FleetConfig reads the current configuration.
@@ -80,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &snapshot{FleetConfig: &FleetConfig{Tree: settings.NewTree(), Keys: map[string][]string{}}}
+	s := &snapshot{FleetConfig: &FleetConfig{Tree: settings.NewTree(), Keys: map[string][]string{}}, era: rows.Era}
 	for _, r := range rows.Rows {
 		if err := s.addRow(r); err != nil {
 			return nil, fmt.Errorf("row %q of the operator's table: %w", r.Key, err)
@@ -112,6 +118,9 @@
 			return err
 		}
 		s.auditTrail = append(s.auditTrail, entry)
+		if r.Version >= s.lastAudit.Version {
+			s.lastAudit = r
+		}
 	}
 	return nil
 }
@@ -128,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s.Version++
+	s.Version = nextVersion(s.Version, s.era)
 	entry := &AuditEntry{Version: s.Version, At: c.now(), Actor: c.actor, Summary: summary, Branches: settings.Diff(before, s.Tree)}
 	tx, err := s.transactionFor(entry)
 	if err != nil {
@@ -146,8 +155,26 @@
 	return entry, nil
 }
 
+// eraVersionBits is the position of the store's era in configuration versions.
+const eraVersionBits = 32
+
+// nextVersion returns the version of the configuration that follows the given one. Once
+// the store has come back from an older copy, versions start from a new base: nodes may
+// hold versions that the copy lacks and would ignore others with the same numbers.
+func nextVersion(version, era uint64) uint64 {
+	if era <= 1 {
+		return version + 1
+	}
+	return max(version, era<<eraVersionBits) + 1
+}
+
 // transactionFor returns the transaction that writes the configuration, the tree and the
 // audit entry, on condition that none of their rows has changed since s was read.
+//
+// If the store comes back from an older copy in between, it gives versions out again, and
+// the rows may have been written by somebody else under the same versions. The condition
+// that the newest audit entry exists excludes that: its key is unique to the change that
+// wrote it, in the same transaction as the other rows.
 func (s *snapshot) transactionFor(entry *AuditEntry) (platform.Transaction, error) {
 	config, err := platform.EncodeConfiguration(s.NodeConfiguration())
 	if err != nil {
@@ -157,9 +184,9 @@
 	if err != nil {
 		return platform.Transaction{}, err
 	}
-	auditKey := fmt.Sprintf("%s%020d", auditPrefix, entry.Version)
+	auditKey := fmt.Sprintf("%s%020d-%s", auditPrefix, entry.Version, uuid.Must(uuid.NewV7()))
 	const table = platform.ConfigurationTable
-	return platform.Transaction{
+	tx := platform.Transaction{
 		Preconditions: []platform.Precondition{
 			{Table: table, Key: platform.ConfigurationKey, Version: s.configVersion},
 			{Table: table, Key: TreeKey, Version: s.treeVersion},
@@ -170,5 +197,9 @@
 			{Table: table, Key: TreeKey, Value: settings.Render(s.Tree)},
 			{Table: table, Key: auditKey, Value: audit},
 		},
-	}, nil
+	}
+	if last := s.lastAudit; last.Key != "" {
+		tx.Preconditions = append(tx.Preconditions, platform.Precondition{Table: table, Key: last.Key, Version: last.Version})
+	}
+	return tx, nil
 }
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -231,6 +231,16 @@
 	return request.Refuse(request.ReasonQuarantined, until.Sub(now)), true
 }
 
+// Deaths returns all deaths that have not been evicted, in order of time. They must not be
+// changed.
+func (s *Set) Deaths() []Death {
+	out := make([]Death, 0, len(s.deaths))
+	for _, d := range slices.SortedFunc(maps.Values(s.deaths), compareDeaths) {
+		out = append(out, *d)
+	}
+	return out
+}
+
 // Entry is a suspected fingerprint in the status output for operators.
 type Entry struct {
 	Fingerprint Fingerprint
--- a/internal/retry/ratio.go
+++ b/internal/retry/ratio.go
@@ -58,6 +58,14 @@
 	return &RatioLimiter{cfg: cfg, epoch: now}
 }
 
+// SetConfig changes the limit. The recorded attempts stay, unless the window changes.
+func (r *RatioLimiter) SetConfig(now time.Time, cfg RatioConfig) {
+	if cfg.Window != r.cfg.Window {
+		*r = RatioLimiter{epoch: now}
+	}
+	r.cfg = cfg
+}
+
 // RecordFirst records a first attempt.
 func (r *RatioLimiter) RecordFirst(now time.Time) {
 	r.advance(now)
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -203,3 +203,35 @@
 		}
 	})
 }
+
+// TestRatioFollowsConfig guards against a limiter that keeps the limits of its first use
+// after the fleet has grown or the operator has changed them.
+func TestRatioFollowsConfig(t *testing.T) {
+	now := time.Unix(0, 0)
+	cfg := RatioConfig{Fraction: 0.5, Floor: 4, Window: 10 * time.Second}
+	r := NewRatioLimiter(cfg, now)
+	count := func() (n int) {
+		for r.Take(now) {
+			n++
+		}
+		return n
+	}
+	if got := count(); got != 4 {
+		t.Errorf("%d retries without first attempts, want the floor of 4", got)
+	}
+	cfg.Floor = 6
+	r.SetConfig(now, cfg)
+	if got := count(); got != 2 {
+		t.Errorf("%d more retries after the floor has risen by 2", got)
+	}
+	cfg.Floor = 1
+	r.SetConfig(now, cfg)
+	if got := count(); got != 0 {
+		t.Errorf("%d retries above a floor that has fallen", got)
+	}
+	cfg.Window = 5 * time.Second
+	r.SetConfig(now, cfg)
+	if got := count(); got != 1 {
+		t.Errorf("%d retries in the new window, want the floor of 1", got)
+	}
+}
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -43,28 +43,36 @@
 	limiters map[budgetKey]*retry.RatioLimiter
 }
 
+// limiter returns the limiter of a budget with the limits in force. The caller holds mu.
 func (b *retryBudgets) limiter(n *Node, k budgetKey) *retry.RatioLimiter {
 	if b.limiters == nil {
 		b.limiters = map[budgetKey]*retry.RatioLimiter{}
 	}
+	cfg := n.retryConfig(k)
 	r := b.limiters[k]
 	if r == nil {
-		fraction := notRunFraction
-		if k.afterRun {
-			fraction = afterRunFraction
-		}
-		bounds := n.settings.Bounds
-		nodes := max(len(*n.state.members.Load()), 1)
-		r = retry.NewRatioLimiter(retry.RatioConfig{
-			Fraction: min(fraction*bounds.RetryRatio, n.state.catalog.Load().Service(k.service).RetryRatio),
-			Floor:    int(fraction * bounds.RetryExtra / float64(nodes)),
-			Window:   bounds.RetryWindow,
-		}, time.Now())
+		r = retry.NewRatioLimiter(cfg, time.Now())
 		b.limiters[k] = r
 	}
+	r.SetConfig(time.Now(), cfg)
 	return r
 }
 
+// retryConfig returns this node's part of a retry budget.
+func (n *Node) retryConfig(k budgetKey) retry.RatioConfig {
+	fraction := notRunFraction
+	if k.afterRun {
+		fraction = afterRunFraction
+	}
+	bounds := n.bounds.Load()
+	nodes := max(len(*n.state.members.Load()), 1)
+	return retry.RatioConfig{
+		Fraction: min(fraction*bounds.RetryRatio, n.state.catalog.Load().Service(k.service).RetryRatio),
+		Floor:    int(fraction * bounds.RetryExtra / float64(nodes)),
+		Window:   bounds.RetryWindow,
+	}
+}
+
 func (b *retryBudgets) countFirstAttempt(n *Node, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/sidecar/confirm.go
+++ b/internal/sidecar/confirm.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/clock"
-	"github.com/teaselseam/teaselseam/internal/fleet"
+	"github.com/teaselseam/teaselseam/internal/era"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/pace"
 	"github.com/teaselseam/teaselseam/platform"
@@ -36,6 +36,9 @@
 	// pollCheckInterval is how often the configuration age is checked.
 	pollCheckInterval = 100 * time.Millisecond
 	pollTimeout       = 800 * time.Millisecond
+	// unsettledPollPause is the time between polls shortly after the store has come back
+	// from a copy, when they may not confirm anything yet.
+	unsettledPollPause = 400 * time.Millisecond
 	// pollerPurpose is the key of the rendezvous hash that selects the pollers.
 	pollerPurpose = "confirm configuration"
 )
@@ -58,20 +61,21 @@
 	if c == nil {
 		return nil
 	}
-	return &hop.ConfigFreshness{Version: c.Version, Age: max(s.configAge(), 0)}
+	return &hop.ConfigFreshness{Version: c.Version, Age: max(s.configAge(), 0), Era: s.currentEra()}
 }
 
 // applyPeerFreshness applies the configuration version and age in a peer's response to a
-// call that was sent at the given time since boot.
+// call that was sent at the given time since boot. Versions of the operator's
+// configuration only rise, whatever the era of the store.
 func (s *storeState) applyPeerFreshness(e hop.ConfigFreshness, sentAt time.Duration) {
 	c := s.catalog.Load()
 	if c == nil {
 		return
 	}
-	switch {
-	case e.Version == c.Version:
+	if e.Version == c.Version {
 		s.confirmAsOf(sentAt - e.Age)
-	case e.Version > c.Version:
+	}
+	if e.Version > c.Version || e.Era > s.currentEra() {
 		pace.Wake(s.newerVersion)
 	}
 }
@@ -93,11 +97,11 @@
 		case <-s.newerVersion:
 			due = true
 		}
-		version := s.knownVersion()
-		if !due || version == 0 {
+		cursor := s.knownCursor()
+		if !due || cursor == (platform.Revision{}) {
 			continue // no poll is due, or runConfiguration has not read the table yet
 		}
-		if err := s.pollStore(ctx, version); err != nil {
+		if err := s.pollStore(ctx, cursor); err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
@@ -107,44 +111,46 @@
 			continue
 		}
 		failures = 0
+		if !s.settled() {
+			s.learnFromPeers(ctx)
+			sleep(ctx, unsettledPollPause)
+		}
 	}
 }
 
-func (s *storeState) knownVersion() uint64 {
+func (s *storeState) knownCursor() platform.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.configVersion
+	return s.configCursor
 }
 
 // pollStore asks the store for changes without waiting. If the store has dropped the
-// history after the version, the whole table is read: the pending watch may not learn
-// of the loss before its end.
-func (s *storeState) pollStore(ctx context.Context, version uint64) error {
+// history after the cursor or come back from an older copy, the whole table is read: the
+// pending watch may not learn of that before its end.
+func (s *storeState) pollStore(ctx context.Context, cursor platform.Revision) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	u := update{sentAt: clock.SinceBoot()}
-	changes, err := s.n.store.Watch(ctx, platform.ConfigurationTable, version, 0)
-	if errors.Is(err, platform.ErrHistoryLost) {
+	changes, err := s.n.store.Watch(ctx, platform.ConfigurationTable, cursor.Version, 0)
+	if errors.Is(err, platform.ErrHistoryLost) || err == nil && changes.Era != cursor.Era {
 		u.snapshot = true
 		changes, err = s.n.store.Read(ctx, platform.ConfigurationTable, "")
 	}
 	if err != nil {
 		return err
 	}
-	u.rows, u.version = changes.Rows, changes.Version
+	if s.observe(changes.Revision) == era.Earlier {
+		return errEarlierEra
+	}
+	u.rows, u.revision = changes.Rows, changes.Revision
 	s.applyConfiguration(u)
 	return nil
 }
 
 // pollAge returns the configuration age at which this node polls the store.
 func (s *storeState) pollAge() time.Duration {
-	for i, m := range fleet.RendezvousOrder(s.servingMembers(), pollerPurpose) {
-		if i >= pollerCount {
-			break
-		}
-		if m.Node == s.n.settings.Node {
-			return pollerAge
-		}
+	if s.n.isChosen(pollerPurpose, pollerCount) {
+		return pollerAge
 	}
 	return fallbackPollAge
 }
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -105,12 +106,61 @@
 	}
 }
 
+// deaths returns the known crashes.
+func (t *crashTracker) deaths() []quarantine.Death {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.set.Deaths()
+}
+
 func (t *crashTracker) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.set.Expire(time.Now())
 }
 
+const (
+	// crashRecordWriters is how many nodes write a crash record again that a store which
+	// came back from a copy lacks. With two, one may fail.
+	crashRecordWriters = 2
+	// maxRepublishDelay bounds the random delay before such a record is written.
+	maxRepublishDelay = time.Second
+)
+
+// republishCrashes writes the crash records that are missing among the rows of a store
+// that has come back from a copy, if this node is one of those chosen to do so.
+func (n *Node) republishCrashes(ctx context.Context, rows []platform.Row) {
+	stored := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		stored[r.Key] = true
+	}
+	for _, d := range n.crashes.deaths() {
+		id := uuid.UUID(d.ID).String()
+		if stored[id] || !n.isChosen("crash record "+id, crashRecordWriters) {
+			continue
+		}
+		sleep(ctx, time.Duration(rand.Float64()*float64(maxRepublishDelay)))
+		if ctx.Err() != nil {
+			return
+		}
+		n.publishCrash(id, quarantine.Encode(quarantine.Evidence{Deaths: []quarantine.Death{d}}))
+	}
+}
+
+// isChosen reports whether this node is among the first count nodes of the rendezvous
+// order for a purpose.
+func (n *Node) isChosen(purpose string, count int) bool {
+	for i, m := range fleet.RendezvousOrder(n.state.servingMembers(), purpose) {
+		if i >= count {
+			return false
+		}
+		if m.Node == n.settings.Node {
+			return true
+		}
+	}
+	return false
+}
+
 // publishCrash writes a crash record to the store, from which all nodes read it.
 func (n *Node) publishCrash(id string, evidence []byte) {
 	for failures := 1; failures <= maxPublishAttempts; failures++ {
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/era"
 	"github.com/teaselseam/teaselseam/internal/fleet"
 	"github.com/teaselseam/teaselseam/internal/pace"
 	"github.com/teaselseam/teaselseam/platform"
@@ -60,8 +61,8 @@
 	var row storedRow
 	failures := 0
 	for ctx.Err() == nil {
-		if own := m.n.state.ownRow.Load(); own != nil && own.version >= row.version {
-			row = storedRow{own.member, own.version}
+		if own := m.n.state.ownRow.Load(); own != nil && !own.revision.Before(row.revision) {
+			row = storedRow{own.member, own.revision}
 		}
 		want := m.desired()
 		if row.member != nil && *row.member == want {
@@ -88,18 +89,18 @@
 
 // storedRow is the row as last known to be in the store.
 type storedRow struct {
-	member  *fleet.Member // nil if there is none or its content is unknown
-	version uint64
+	member   *fleet.Member // nil if there is none or its content is unknown
+	revision platform.Revision
 }
 
 // update writes the row and returns what the store has afterwards.
 func (m *memberRow) update(ctx context.Context, row storedRow, want fleet.Member) (storedRow, error) {
-	version, err := m.write(ctx, want, row.version)
+	revision, err := m.write(ctx, want, row.revision.Version)
 	switch {
 	case err == nil:
-		return storedRow{&want, version}, nil
+		return storedRow{&want, revision}, nil
 	case errors.Is(err, platform.ErrConflict):
-		return storedRow{nil, version}, err
+		return storedRow{nil, revision}, err
 	}
 	return row, err
 }
@@ -122,28 +123,32 @@
 	})
 }
 
-// write returns the new version of the row, or its current one with ErrConflict.
-func (m *memberRow) write(ctx context.Context, row fleet.Member, version uint64) (uint64, error) {
+// write returns the new revision of the row, or its current one with ErrConflict.
+func (m *memberRow) write(ctx context.Context, row fleet.Member, version uint64) (platform.Revision, error) {
 	value, err := row.Encode()
 	if err != nil {
-		return 0, err
+		return platform.Revision{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeWriteTimeout)
 	defer cancel()
 	key := row.Node
-	v, current, err := m.n.store.Commit(ctx, platform.Transaction{
+	revision, current, err := m.n.store.Commit(ctx, platform.Transaction{
 		Preconditions: []platform.Precondition{{Table: fleet.Table, Key: key, Version: version}},
 		Puts:          []platform.Row{{Table: fleet.Table, Key: key, Value: value}},
 	})
-	if errors.Is(err, platform.ErrConflict) {
-		v = 0
+	conflict := errors.Is(err, platform.ErrConflict)
+	if (err == nil || conflict) && m.n.state.observe(revision) == era.Earlier {
+		return platform.Revision{}, errEarlierEra // the write is lost
+	}
+	if conflict {
+		revision.Version = 0
 		for _, r := range current {
 			if r.Key == key && !r.Deleted {
-				v = r.Version
+				revision.Version = r.Version
 			}
 		}
 	}
-	return v, err
+	return revision, err
 }
 
 func (m *memberRow) publishStored(row fleet.Member) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -60,13 +60,17 @@
 
 // Node is one running sidecar.
 type Node struct {
-	log         *slog.Logger // changes of the node's state
-	requestLog  *slog.Logger // decisions on requests, rate-limited
-	settings    *platform.Settings
-	incarnation string
-	store       *platform.Store
-	metrics     *obs.Metrics
-	histograms  histograms
+	log        *slog.Logger       // changes of the node's state
+	requestLog *slog.Logger       // decisions on requests, rate-limited
+	settings   *platform.Settings // as at the start; reload.go tells what changes later
+	bounds     atomic.Pointer[platform.Bounds]
+	// storeAddress is the IP:port of the store, pendingSettings what Reload returned last.
+	storeAddress    atomic.Pointer[string]
+	pendingSettings atomic.Pointer[[]string]
+	incarnation     string
+	store           *platform.Store
+	metrics         *obs.Metrics
+	histograms      histograms
 
 	state          *storeState
 	guard          *guard
@@ -103,6 +107,9 @@
 		metrics:     obs.NewMetrics(),
 		peers:       hop.NewPool(peerDialTimeout, peerIdleTimeout),
 	}
+	n.bounds.Store(&s.Bounds)
+	n.storeAddress.Store(&s.StoreAddress)
+	n.pendingSettings.Store(&[]string{})
 	n.histograms = newHistograms(n.metrics)
 	n.store.Observe = n.observeStoreCall
 	n.state = newStoreState(n)
@@ -127,6 +134,7 @@
 	peers := http.NewServeMux()
 	peers.HandleFunc(bankPath, n.tokens.serveBank)
 	peers.HandleFunc(livenessPath, serveLiveness)
+	peers.HandleFunc(configurationPath, n.state.serveConfiguration)
 	peers.HandleFunc("/", n.guard.serve)
 	control := http.HandlerFunc(n.serveControl)
 	lc := net.ListenConfig{KeepAliveConfig: hop.KeepAlive, Control: hop.SetUserTimeout}
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -22,6 +22,10 @@
 	ConfigurationAge     float64 `json:"configuration_age_seconds"`
 	KeysAccepted         bool    `json:"keys_hold"` // whether requests with keys are served
 
+	// PendingSettings are changed settings that need a restart of the node.
+	PendingSettings []string `json:"pending_settings,omitempty"`
+	StoreEra        uint64   `json:"store_era"`
+
 	Backend    BackendStatus   `json:"backend"`
 	Members    []MemberStatus  `json:"members"`
 	Shares     []ShareStatus   `json:"shares"`
@@ -85,6 +89,7 @@
 	s := Status{
 		Node: n.settings.Node, Incarnation: n.incarnation, Ready: n.ready(), Stopping: n.stopping.Load(),
 		ConfigurationAge: n.state.configAge().Seconds(), KeysAccepted: n.state.keysValid(),
+		PendingSettings: *n.pendingSettings.Load(), StoreEra: n.state.currentEra(),
 		Backend: n.guard.status(), Quarantine: n.crashes.status(),
 	}
 	if c := n.state.catalog.Load(); c != nil {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -38,11 +38,12 @@
 // listeners once no request is active or the grace period is almost over.
 func (n *Node) stop() {
 	began := time.Now()
+	grace := n.bounds.Load().StopGrace
 	n.stopping.Store(true)
-	n.acceptUntil.Store(int64(began.Sub(n.startedAt) + time.Duration(acceptFraction*float64(n.settings.Bounds.StopGrace))))
+	n.acceptUntil.Store(int64(began.Sub(n.startedAt) + time.Duration(acceptFraction*float64(grace))))
 	n.log.Info("node is stopping", "event", "stopping", "active", n.activeRequests.Load())
 	n.member.scheduleUpdate()
-	deadline := began.Add(n.settings.Bounds.StopGrace - killMargin)
+	deadline := began.Add(grace - killMargin)
 	idleSince := began
 	for now := began; now.Before(deadline); now = time.Now() {
 		if n.activeRequests.Load() > 0 || n.guard.activeCalls.Load() > 0 {
--- a/internal/sidecar/storestate.go
+++ b/internal/sidecar/storestate.go
@@ -11,6 +11,7 @@
 
 	"github.com/teaselseam/teaselseam/internal/catalog"
 	"github.com/teaselseam/teaselseam/internal/clock"
+	"github.com/teaselseam/teaselseam/internal/era"
 	"github.com/teaselseam/teaselseam/internal/fleet"
 	"github.com/teaselseam/teaselseam/internal/operator"
 	"github.com/teaselseam/teaselseam/internal/settings"
@@ -52,6 +53,9 @@
 	// maxReadyAge is the configuration age above which the node reports that it is not
 	// ready, so that callers are sent to other nodes.
 	maxReadyAge = 3 * time.Second
+	// maxReloadJitter bounds the random delay before a node reads its tables again after
+	// the store has come back from a copy, so that not all nodes do so at once.
+	maxReloadJitter = 200 * time.Millisecond
 )
 
 // storeState is the node's copy of the data in the store: the operator's
@@ -62,29 +66,40 @@
 	log *slog.Logger
 
 	mu            sync.Mutex
+	era           era.Confirmation
+	watchesEnd    chan struct{}           // closed when pending watches are to end
 	configuration *platform.Configuration // newest
-	settingsTree  *settings.Tree          // nil if there is none
-	// configVersion is the store version up to which changes of the configuration table
-	// are known; 0 before the table has been read.
-	configVersion uint64
+	// configValue is the row of the newest configuration as the operator wrote it.
+	configValue  []byte
+	settingsTree *settings.Tree // nil if there is none
+	treeLineage  era.Lineage
+	// configCursor is the revision up to which changes of the configuration table are
+	// known; the zero value before the table has been read.
+	configCursor platform.Revision
 
 	catalog       atomic.Pointer[catalog.Catalog]
 	confirmedAsOf atomic.Int64  // time since boot at which the configuration was known to be the newest
 	newerVersion  chan struct{} // signals that a peer has a newer configuration
-	fleetView     *fleet.View   // owned by runFleet
 	members       atomic.Pointer[[]*fleet.Member]
 	ownRow        atomic.Pointer[ownRow]
 	fleetLoaded   chan struct{} // closed once the fleet table has been read
+
+	fleetMu   sync.Mutex // serialises updates of the members
+	fleetView *fleet.View
+	fleetEra  uint64 // of the versions in fleetView
 }
 
 // ownRow is the node's own row in the fleet table; member is nil if there is none.
 type ownRow struct {
-	member  *fleet.Member
-	version uint64
+	member   *fleet.Member
+	revision platform.Revision
 }
 
 func newStoreState(n *Node) *storeState {
-	s := &storeState{n: n, log: n.log, fleetView: fleet.NewView(), fleetLoaded: make(chan struct{}), newerVersion: make(chan struct{}, 1)}
+	s := &storeState{
+		n: n, log: n.log, fleetView: fleet.NewView(), fleetLoaded: make(chan struct{}),
+		newerVersion: make(chan struct{}, 1), watchesEnd: make(chan struct{}),
+	}
 	s.members.Store(&[]*fleet.Member{})
 	s.confirmedAsOf.Store(-int64(time.Hour))
 	return s
@@ -100,7 +115,7 @@
 // keysValid reports whether requests with keys may be served. It is false once the
 // configuration is so old that a key revoked since it was confirmed might be accepted for
 // longer than Bounds.Revoke allows.
-func (s *storeState) keysValid() bool { return s.configAge() < s.n.settings.Bounds.Revoke-revokeMargin }
+func (s *storeState) keysValid() bool { return s.configAge() < s.n.bounds.Load().Revoke-revokeMargin }
 
 // runConfiguration keeps the operator's configuration up to date.
 func (s *storeState) runConfiguration(ctx context.Context) error {
@@ -111,16 +126,23 @@
 func (s *storeState) applyConfiguration(u update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if u.revision.Era < s.era.Era() {
+		return // a later era became known in the meantime
+	}
 	for _, r := range u.rows {
 		if !r.Deleted {
-			s.applyConfigurationRow(r)
+			s.applyConfigurationRow(r, u.revision.Era)
 		}
 	}
 	if len(u.rows) > 0 {
 		s.publishCatalog()
 	}
-	s.configVersion = max(s.configVersion, u.version)
-	s.confirmAsOf(u.validAsOf())
+	if s.configCursor.Before(u.revision) {
+		s.configCursor = u.revision
+	}
+	if asOf := u.validAsOf(); s.era.Confirms(asOf) {
+		s.confirmAsOf(asOf)
+	}
 }
 
 // validAsOf returns the time since boot at which the update was certainly the newest
@@ -135,8 +157,8 @@
 }
 
 // applyConfigurationRow stores a row of the configuration table, or keeps the previous
-// one if it cannot be parsed.
-func (s *storeState) applyConfigurationRow(r platform.Row) {
+// one if it cannot be parsed or is older.
+func (s *storeState) applyConfigurationRow(r platform.Row, rowEra uint64) {
 	switch r.Key {
 	case platform.ConfigurationKey:
 		c, err := platform.ParseConfiguration(r.Value)
@@ -144,17 +166,34 @@
 			s.log.Error("configuration cannot be parsed; keeping the previous one", "event", "configuration", "err", err)
 			return
 		}
-		if s.configuration == nil || c.Version > s.configuration.Version {
-			s.configuration = c
+		s.replaceConfiguration(c, r.Value)
+		if !s.era.Stored(c.Version, platform.Revision{Era: rowEra, Version: r.Version}) {
+			s.log.Warn("store has an older configuration; keeping the newer one", "event", "configuration",
+				"version", s.configuration.Version, "in_store", c.Version, "era", rowEra)
 		}
 	case operator.TreeKey:
+		if !s.era.WrittenIn(r.Version) && s.treeLineage.Replaced(r.Value) {
+			s.log.Warn("store has an older settings tree; keeping the newer one", "event", "configuration", "era", rowEra)
+			return
+		}
 		tree, err := settings.Parse(r.Key, r.Value)
 		if err != nil {
 			s.log.Error("settings tree cannot be parsed; keeping the previous one", "event", "configuration", "err", err)
 			return
 		}
 		s.settingsTree = tree
+		s.treeLineage.Replace(r.Value)
+	}
+}
+
+// replaceConfiguration stores a configuration and returns true if it is newer than the
+// known one. The caller holds mu.
+func (s *storeState) replaceConfiguration(c *platform.Configuration, value []byte) bool {
+	newer := s.era.Adopt(c.Version)
+	if newer {
+		s.configuration, s.configValue = c, value
 	}
+	return newer
 }
 
 // publishCatalog activates the newest configuration and settings tree.
@@ -177,6 +216,9 @@
 		name: fleet.Table, wait: fleetWatchWait, delayAfterChange: s.fleetDelay,
 		apply: func(u update) {
 			s.applyFleet(u, first)
+			if u.afterCopy {
+				time.AfterFunc(era.Settle, s.dropKeptMembers)
+			}
 			if first {
 				first = false
 				close(s.fleetLoaded)
@@ -186,12 +228,18 @@
 }
 
 func (s *storeState) applyFleet(u update, first bool) {
+	s.fleetMu.Lock()
+	defer s.fleetMu.Unlock()
 	var errs []error
-	if u.snapshot {
+	switch {
+	case u.afterCopy:
+		errs = s.fleetView.ReplaceByCopy(u.rows)
+	case u.snapshot:
 		errs = s.fleetView.Replace(u.rows)
-	} else {
+	default:
 		errs = s.fleetView.Apply(u.rows)
 	}
+	s.fleetEra = u.revision.Era
 	for _, err := range errs {
 		s.log.Warn("row of the fleet table cannot be parsed", "event", "fleet", "err", err)
 	}
@@ -200,6 +248,16 @@
 	}
 }
 
+// dropKeptMembers ends the precedence of the members known from before the store came back
+// from a copy.
+func (s *storeState) dropKeptMembers() {
+	s.fleetMu.Lock()
+	defer s.fleetMu.Unlock()
+	if s.fleetView.DropKept() {
+		s.publishFleet(false)
+	}
+}
+
 // servingMembers returns the members that are not stopping.
 func (s *storeState) servingMembers() []*fleet.Member {
 	var out []*fleet.Member
@@ -225,14 +283,18 @@
 				s.n.crashes.applyRecord(r.Value)
 			}
 		}
+		if u.afterCopy {
+			go s.n.republishCrashes(ctx, u.rows)
+		}
 	}})
 }
 
+// publishFleet publishes the view of the members. The caller holds fleetMu.
 func (s *storeState) publishFleet(first bool) {
 	members := s.fleetView.Members()
 	s.members.Store(&members)
 	m, version := s.fleetView.Member(s.n.settings.Node)
-	s.ownRow.Store(&ownRow{member: m, version: version})
+	s.ownRow.Store(&ownRow{member: m, revision: platform.Revision{Era: s.fleetEra, Version: version}})
 	s.n.balancer.setMembers(time.Now(), members, first)
 	s.n.applyLimits()
 	s.n.member.scheduleUpdate()
@@ -255,22 +317,36 @@
 	sentAt   time.Duration // time since boot at which the call was sent
 	duration time.Duration
 	wait     time.Duration // requested long-poll wait
-	// version is the store version up to which the response covers all changes.
-	version uint64
+	// revision is the state of the store up to which the response covers all changes.
+	revision platform.Revision
+	// afterCopy is true for the first snapshot after the store came back from an older
+	// copy.
+	afterCopy bool
 }
 
+// errEarlierEra is the failure of a call whose response is of an earlier era than known.
+var errEarlierEra = errors.New("response is from before the store came back from a copy")
+
 // followTable reads a table and then watches its changes until ctx ends. It reads the
-// whole table again if the store has dropped the history.
+// whole table again if the store has dropped the history or come back from an older copy.
 func (s *storeState) followTable(ctx context.Context, t followedTable) error {
-	var version uint64
-	loaded := false
+	var cursor platform.Revision
+	loaded, loadedBefore := false, false
 	failures := 0
 	for ctx.Err() == nil {
 		u := update{snapshot: !loaded, sentAt: clock.SinceBoot(), wait: t.wait}
-		changes, err := s.fetch(ctx, t.name, version, loaded, t.wait)
+		changes, err := s.fetch(ctx, t.name, cursor, loaded, t.wait)
 		if ctx.Err() != nil {
 			return nil
 		}
+		if err == nil && s.observe(changes.Revision) == era.Earlier {
+			err = errEarlierEra
+		}
+		if loaded && s.currentEra() != cursor.Era {
+			loaded = false
+			sleep(ctx, time.Duration(rand.Float64()*float64(maxReloadJitter)))
+			continue
+		}
 		if err != nil {
 			failures++
 			lost := errors.Is(err, platform.ErrHistoryLost)
@@ -284,9 +360,10 @@
 			s.log.Info("store calls succeed again", "event", "store", "table", t.name, "failures", failures)
 			failures = 0
 		}
-		u.rows, u.version, u.duration = changes.Rows, changes.Version, clock.SinceBoot()-u.sentAt
+		u.rows, u.revision, u.duration = changes.Rows, changes.Revision, clock.SinceBoot()-u.sentAt
+		u.afterCopy = loadedBefore && changes.Era != cursor.Era
 		t.apply(u)
-		version, loaded = changes.Version, true
+		cursor, loaded, loadedBefore = changes.Revision, true, true
 		if len(u.rows) > 0 && t.delayAfterChange != nil {
 			sleep(ctx, t.delayAfterChange())
 		}
@@ -295,8 +372,8 @@
 }
 
 // fetch reads the whole table if it is not loaded, and otherwise watches it for changes
-// after the version.
-func (s *storeState) fetch(ctx context.Context, name string, version uint64, loaded bool, wait time.Duration) (platform.Changes, error) {
+// after the cursor until the era of the cursor ends.
+func (s *storeState) fetch(ctx context.Context, name string, cursor platform.Revision, loaded bool, wait time.Duration) (platform.Changes, error) {
 	timeout := storeReadTimeout
 	if loaded {
 		timeout = wait + watchTimeoutMargin
@@ -306,7 +383,9 @@
 	if !loaded {
 		return s.n.store.Read(ctx, name, "")
 	}
-	return s.n.store.Watch(ctx, name, version, wait)
+	stop := s.onEraEnd(cursor.Era, cancel)
+	defer stop()
+	return s.n.store.Watch(ctx, name, cursor.Version, wait)
 }
 
 // recordFailure counts a failed store call and logs the first of a series.
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/standin"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
@@ -18,8 +19,11 @@
 // operatorConfig is the configuration that the soak test writes. It records when keys
 // were revoked and routes removed, for the checks.
 type operatorConfig struct {
+	changes sync.Mutex // serialises changes; taken before mu
+
 	mu              sync.Mutex
 	version         int
+	written         []byte               // row of the current configuration
 	activeKeys      map[string]string    // workspace by key, without revoked keys
 	revokedKeys     map[string]time.Time // when the write that revoked the key returned, by key
 	workspaceByKey  map[string]string    // workspace by key, including revoked keys
@@ -77,10 +81,26 @@
 		panic(err) // cannot happen: all values can be encoded
 	}
 	f.store.Put(platform.ConfigurationTable, platform.ConfigurationKey, value)
+	c.written = value
+}
+
+// comeBack brings the store back from a copy and, after a while, writes the configuration
+// again. Meanwhile the configuration does not change.
+func (c *operatorConfig) comeBack(f *fleet, copied *standin.Copy, rewriteAfter time.Duration) {
+	c.changes.Lock()
+	defer c.changes.Unlock()
+	f.store.ComeBack(copied)
+	f.store.SetFaults(standin.Faults{})
+	time.Sleep(rewriteAfter)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f.store.Put(platform.ConfigurationTable, platform.ConfigurationKey, c.written)
 }
 
 // revokeKey revokes a key and issues another to its workspace.
 func (c *operatorConfig) revokeKey(f *fleet, key string) {
+	c.changes.Lock()
+	defer c.changes.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w, ok := c.activeKeys[key]
@@ -95,6 +115,8 @@
 
 // changeRoutes adds an extra route, or removes the oldest one.
 func (c *operatorConfig) changeRoutes(f *fleet, add bool) {
+	c.changes.Lock()
+	defer c.changes.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if add {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,11 +48,14 @@
 	}},
 	{"backend server drops responses", false, func(r *run, n *node, _ *rand.Rand) { r.injectResponseFault(n, responseDropped) }},
 	{"backend server truncates responses", false, func(r *run, n *node, _ *rand.Rand) { r.injectResponseFault(n, responseTruncated) }},
+	{"backend server sends a head without end", false, func(r *run, n *node, _ *rand.Rand) { r.injectResponseFault(n, responseEndlessHead) }},
+	{"backend server sends a body without end", false, func(r *run, n *node, _ *rand.Rand) { r.injectResponseFault(n, responseEndlessBody) }},
 	{"store is slow", false, func(r *run, _ *node, _ *rand.Rand) { r.failStore(standin.Faults{Delay: 300 * time.Millisecond}) }},
 	{"store is down", false, func(r *run, _ *node, _ *rand.Rand) { r.failStore(standin.Faults{Down: true}) }},
 	{"store drops responses to writes", false, func(r *run, _ *node, _ *rand.Rand) { r.failStore(standin.Faults{DropWriteResponses: true}) }},
 	{"store commits writes late", false, func(r *run, _ *node, _ *rand.Rand) { r.failStore(standin.Faults{WriteDelay: 1500 * time.Millisecond}) }},
 	{"store truncates its change history", false, func(r *run, _ *node, _ *rand.Rand) { r.fleet.store.TruncateHistory() }},
+	{"store comes back from a copy", false, func(r *run, _ *node, rnd *rand.Rand) { r.comeBackFromCopy(rnd) }},
 	{"link fault to the store", false, func(r *run, n *node, rnd *rand.Rand) { r.injectLinkFault(n, n.toStore, rnd) }},
 	{"revoke keys while a node is cut off from the store", false, func(r *run, n *node, rnd *rand.Rand) {
 		n.recordFault()
@@ -76,6 +79,8 @@
 	responseOK responseFault = iota
 	responseDropped
 	responseTruncated
+	responseEndlessHead
+	responseEndlessBody
 )
 
 const responseFaultDuration = 2 * time.Second
@@ -90,17 +95,33 @@
 	n.recordFault()
 }
 
-// failStore applies a fault to the store for 4 s. It affects all nodes.
-func (r *run) failStore(f standin.Faults) {
+// comeBackFromCopy takes the store away and brings it back from a copy up to 2 s old. The
+// operator writes the configuration again within a second.
+func (r *run) comeBackFromCopy(rnd *rand.Rand) {
+	r.storeMu.Lock() // one copy at a time
+	defer r.storeMu.Unlock()
+	copied := r.fleet.store.Copy()
+	time.Sleep(time.Duration(rnd.IntN(2000)) * time.Millisecond)
+	r.recordFaultOnAll()
+	r.fleet.store.SetFaults(standin.Faults{Down: true})
+	time.Sleep(time.Duration(100+rnd.IntN(900)) * time.Millisecond)
+	r.config.comeBack(r.fleet, copied, time.Duration(rnd.IntN(1000))*time.Millisecond)
+	r.recordFaultOnAll()
+}
+
+func (r *run) recordFaultOnAll() {
 	for _, n := range r.fleet.nodes {
 		n.recordFault()
 	}
+}
+
+// failStore applies a fault to the store for 4 s. It affects all nodes.
+func (r *run) failStore(f standin.Faults) {
+	r.recordFaultOnAll()
 	r.fleet.store.SetFaults(f)
 	time.Sleep(4 * time.Second)
 	r.fleet.store.SetFaults(standin.Faults{})
-	for _, n := range r.fleet.nodes {
-		n.recordFault()
-	}
+	r.recordFaultOnAll()
 }
 
 // injectLinkFault applies a randomly drawn fault to a link for 0.5 to 6.5 s.
@@ -157,8 +178,13 @@
 		if !applies {
 			return false
 		}
-		if fault == responseTruncated {
+		switch fault {
+		case responseTruncated:
 			standin.TruncateResponse(w)
+		case responseEndlessHead:
+			standin.SendEndlessHead(w)
+		case responseEndlessBody:
+			standin.SendEndlessBody(w, req)
 		}
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -48,7 +48,7 @@
 	backend           *standin.Backend
 	pastBackends      []*standin.Backend             // earlier ones, kept for the records of what they ran
 	leaveAcknowledged map[*standin.Backend]time.Time // when the node acknowledged that it leaves
-	crashBackend      func() // stops the backend server at once and returns when its address is free
+	crashBackend      func()                         // stops the backend server at once and returns when its address is free
 	// lastFaultAt is when an unplanned fault last began or ended on the node.
 	lastFaultAt time.Time
 	sigtermAt   time.Time // last SIGTERM
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -39,6 +39,8 @@
 	plannedOnly bool
 	recoveredAt time.Time // recoveryTime after the last fault; checkRecovery starts here
 
+	storeMu sync.Mutex // held while the store is away to come back from a copy
+
 	mu             sync.Mutex
 	rnd            *rand.Rand
 	responseFaults map[*node]responseFault
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -55,3 +55,29 @@
 		f.Flush()
 	}
 }
+
+// SendEndlessHead writes a response head that does not end until the connection is closed.
+func SendEndlessHead(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection has ended already
+	}
+	defer conn.Close()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+	for err == nil {
+		_, err = io.WriteString(conn, "X-Filler: without end\r\n")
+	}
+}
+
+// SendEndlessBody writes a signed response with a body that does not end until the
+// connection is closed.
+func SendEndlessBody(w http.ResponseWriter, r *http.Request) {
+	Sign(w)
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	filler := make([]byte, 16<<10)
+	for {
+		if _, err := w.Write(filler); err != nil {
+			return
+		}
+	}
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -36,6 +37,7 @@
 	// oldest is the version at the last truncation of the history; reading the feed
 	// from an earlier version fails.
 	oldest    uint64
+	era       uint64        // rises when the store comes back from a copy
 	changed   chan struct{} // closed at the next change
 	faults    Faults
 	calls     map[string]int
@@ -78,7 +80,42 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: map[rowKey]storedRow{}, changed: make(chan struct{}), calls: map[string]int{}, startedAt: time.Now()}
+	return &Store{
+		rows: map[rowKey]storedRow{}, changed: make(chan struct{}), calls: map[string]int{}, startedAt: time.Now(), era: 1,
+	}
+}
+
+// Copy is a copy of a store's rows and history.
+type Copy struct {
+	version, oldest uint64
+	rows            map[rowKey]storedRow
+	history         []change
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &Copy{version: s.version, oldest: s.oldest, rows: maps.Clone(s.rows), history: slices.Clone(s.history)}
+}
+
+// ComeBack replaces the state by an earlier copy of it and starts a new era: what was
+// written since then is gone, and its versions are given out again.
+func (s *Store) ComeBack(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version, s.oldest = c.version, c.oldest
+	s.rows, s.history = maps.Clone(c.rows), slices.Clone(c.history)
+	close(s.changed) // wakes feed calls of the earlier era
+	s.changed = make(chan struct{})
+}
+
+// Era returns the number of the present era.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 // SetFaults replaces the faults.
@@ -112,6 +149,20 @@
 	return s.rows[rowKey{Table: table, Key: key}].Value
 }
 
+// Keys returns the keys of a table's rows, sorted.
+func (s *Store) Keys(table string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for k := range s.rows {
+		if k.Table == table {
+			out = append(out, k.Key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Calls returns the number of calls received, by URL path.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -128,6 +179,7 @@
 func (s *Store) OperatorHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == txPath {
+			w.Header().Set("Store-Era", strconv.FormatUint(s.Era(), 10))
 			s.serveTx(w, r, Faults{}, true)
 			return
 		}
@@ -142,6 +194,7 @@
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
 	f := s.faults
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if !applyFaults(w, r, f) {
 		return
@@ -268,8 +321,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), min(time.Duration(wait)*time.Millisecond, maxFeedWait))
 	defer cancel()
+	started := s.Era()
 	for {
 		rows, version, truncated, changed := s.changesSince(q.Get("table"), after)
+		if s.Era() != started {
+			panic(http.ErrAbortHandler) // the store was away in between
+		}
 		if s.down() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -296,7 +353,7 @@
 }
 
 // changesSince returns the changes to a table after a version, the current version,
-// whether the history no longer goes back that far, and a channel that is closed at
+// whether the store does not have that version (any more), and a channel that is closed at
 // the next change.
 func (s *Store) changesSince(table string, after uint64) (rows []wireRow, version uint64, truncated bool, changed <-chan struct{}) {
 	s.mu.Lock()
@@ -307,7 +364,7 @@
 			rows = append(rows, wireRow{Table: c.Table, Part: c.Part, Key: c.Key, Value: c.value, Ver: c.version, Deleted: c.deleted})
 		}
 	}
-	return rows, s.version, after < s.oldest, s.changed
+	return rows, s.version, after < s.oldest || after > s.version, s.changed
 }
 
 func (s *Store) writeResponse(w http.ResponseWriter, v map[string]any) {
