--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -38,7 +38,7 @@
 	failed := 0
 	for i := range c.Runs {
 		seed := c.Seed + uint64(i)
-		dir := filepath.Join(os.TempDir(), fmt.Sprintf("teaselseam-soak-%d", seed))
+		dir := filepath.Join(os.TempDir(), fmt.Sprintf("teaselseam-soak-%d-%d", seed, os.Getpid()))
 		findings, err := soak.Run(soak.Config{
 			Daemon: c.Daemon, Seed: seed, Nodes: c.Nodes, FaultDuration: c.Faults, ParallelFaults: c.ParallelFaults, Dir: dir, PlannedOnly: c.Planned,
 			Log: c.log,
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -36,7 +36,6 @@
 type Server struct {
 	platform.Announcement
 	ReceivedAt time.Time // when the newest announcement was received
-	ColdUntil  time.Time // end of the period after its start in which it is slow
 
 	goneReceivedAt time.Time // when the announcement of gone was received
 	readyAfterGone int       // ready announcements later than maxAnnouncementDelay after it
@@ -57,7 +56,7 @@
 }
 
 // Apply updates the state from an announcement. It returns true if anything changed other
-// than the receipt time, the sequence number and the end of the slow period.
+// than the receipt time and the sequence number.
 func (s *Server) Apply(now time.Time, a platform.Announcement) bool {
 	if a.State == platform.Gone {
 		return s.applyGone(now, a)
@@ -82,7 +81,7 @@
 }
 
 func (s *Server) accept(now time.Time, a platform.Announcement) {
-	s.Announcement, s.ReceivedAt, s.ColdUntil = a, now, now.Add(a.ColdRemaining)
+	s.Announcement, s.ReceivedAt = a, now
 	s.goneReceivedAt, s.readyAfterGone = time.Time{}, 0
 }
 
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -43,14 +43,16 @@
 	Route   string
 	Service string
 
-	Workspace     string // empty for calls without a workspace key, such as internal calls
-	Caller        string // service on the VM from which the call came
-	Target        string // ID of the backend server chosen to run the call
-	Importance    request.Importance
-	Idempotent    bool
-	Arrived       time.Time     // when the caller's node received the call
-	Deadline      time.Time     // when the call times out
-	TargetLatency time.Duration // time left, on arrival, until the route's latency target; zero if unknown
+	Workspace  string // empty for calls without a workspace key, such as internal calls
+	Caller     string // service on the VM from which the call came
+	Target     string // ID of the backend server chosen to run the call
+	Importance request.Importance
+	Idempotent bool
+	Arrived    time.Time // when the caller's node received the call
+	Deadline   time.Time // when the call times out
+	// TargetLatency is the time left, on arrival, until the route's latency target;
+	// negative if that has passed, zero if there is none.
+	TargetLatency time.Duration
 	// AskConfig asks the receiving node to return its ConfigFreshness.
 	AskConfig bool
 }
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -46,5 +46,6 @@
 //
 // Nodes use only a part of this: a digest of the content as the only fingerprint, and
 // completions on the node where the request ran. They do not call MayStart, Lift,
-// IDFingerprint, Summary or Reply.
+// IDFingerprint, Summary or Reply. With isolation, the hundreds of requests that one
+// backend server loses would run again one at a time.
 package quarantine
--- a/internal/retry/ratio.go
+++ b/internal/retry/ratio.go
@@ -1,9 +1,6 @@
 package retry
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // windowBuckets is the number of buckets in a sliding window. The window moves in steps
 // of one bucket.
@@ -23,20 +20,6 @@
 	return RatioConfig{Fraction: 0.10, Floor: 2, Window: 10 * time.Second}
 }
 
-// Validate returns an error if a field is out of range.
-func (c RatioConfig) Validate() error {
-	if c.Fraction < 0 || c.Fraction > 1 {
-		return fmt.Errorf("retry fraction %v is not between 0 and 1", c.Fraction)
-	}
-	if c.Floor < 0 {
-		return fmt.Errorf("retry floor %d is negative", c.Floor)
-	}
-	if c.Window < windowBuckets {
-		return fmt.Errorf("retry window %v is shorter than %d ns", c.Window, windowBuckets)
-	}
-	return nil
-}
-
 // RatioLimiter limits the retries that one ingress sends to one service to a fraction of
 // the first attempts in a sliding window.
 type RatioLimiter struct {
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -43,20 +42,6 @@
 	}
 }
 
-// Validate returns an error if a value is outside the range that Picker requires.
-func (c Config) Validate() error {
-	if c.Ingresses < 1 || c.LocalIngresses < 1 || c.MaxSubset < 1 || c.DefaultSlots < 1 || c.MaxSlots < 1 || c.EjectFailures < 1 {
-		return fmt.Errorf("routing configuration has a count below 1: %+v", c)
-	}
-	if c.ObservationHalfLife <= 0 || c.ReportHalfLife <= 0 || c.SlowStart <= 0 || c.EjectBase <= 0 || c.EjectMax < c.EjectBase {
-		return fmt.Errorf("routing configuration has a duration out of range: %+v", c)
-	}
-	if c.FasterReportWeight < 0 || c.FasterReportWeight > c.SlowerReportWeight || c.SlowerReportWeight > 0.5 {
-		return fmt.Errorf("report weights must satisfy 0 <= faster <= slower <= 0.5: got faster %v, slower %v", c.FasterReportWeight, c.SlowerReportWeight)
-	}
-	return nil
-}
-
 // Endpoint is a guard in front of a backend server of the service.
 type Endpoint struct {
 	ID         string
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -18,6 +18,10 @@
 // unreachable, restart or disagree on which node holds the bank. A node that cannot
 // reach a bank still has its own 1/N of the rate.
 //
+// A draw may exceed the capacity of a bucket, since it covers the demand of drawHorizon.
+// What is left of it then goes back to the bank. Otherwise nodes with short peaks would
+// each keep a part of the burst, which the bank collects again.
+//
 // In a window of length w all nodes together admit at most rate x w plus the tokens
 // that are stored at its start. The capacities (see capacities and overflowWindow)
 // keep the stored tokens of a workspace below burst + 0.3 s of its rate + 10.
@@ -91,12 +95,16 @@
 	rate, capacity, overflowCapacity float64 // this node's part of the limit
 	// overflow holds the tokens beyond the capacity until they are deposited.
 	tokens, overflow float64
-	refilledAt       time.Time
-	demand           float64 // requests per second, admitted or not
-	demandAt         time.Time
-	needsTokens      bool // a request found no token since the last draw
-	noDrawUntil      time.Time
-	noDepositUntil   time.Time
+	// unused holds drawn tokens beyond the capacity that were not used in time. They go
+	// back to the bank.
+	unused         float64
+	drawnUntil     time.Time // end of the time for which drawn tokens may exceed the capacity
+	refilledAt     time.Time
+	demand         float64 // requests per second, admitted or not
+	demandAt       time.Time
+	needsTokens    bool // a request found no token since the last draw
+	noDrawUntil    time.Time
+	noDepositUntil time.Time
 }
 
 // NewBuckets returns an empty set of buckets.
@@ -203,6 +211,7 @@
 		} else if b.overflow >= b.overflowCapacity/3 && b.overflow > 0 && !now.Before(b.noDepositUntil) {
 			t.Deposit, b.overflow = b.overflow, 0
 		}
+		t.Deposit, b.unused = t.Deposit+b.unused, 0
 		if t.Deposit > 0 || t.Draw > 0 {
 			out = append(out, t)
 		}
@@ -227,6 +236,7 @@
 		b.refill(now)
 		tokens := min(max(granted[t.Workspace], 0), t.Draw)
 		b.tokens += tokens
+		b.drawnUntil = now.Add(drawHorizon)
 		if tokens < t.Draw/2 {
 			b.noDrawUntil = now.Add(emptyBankBackoff)
 		}
@@ -258,6 +268,10 @@
 		return
 	}
 	b.refilledAt = now
+	if excess := b.tokens - b.capacity; excess > 0 && now.After(b.drawnUntil) {
+		b.tokens -= excess
+		b.unused += excess
+	}
 	b.add(b.rate * elapsed)
 }
 
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -210,3 +210,28 @@
 		t.Errorf("%d messages in 10 s, want at most 2.6 per second and node", messages)
 	}
 }
+
+// TestUnusedDraws guards against a limit that is exceeded because nodes keep what they have
+// drawn: each node in turn has a short peak, and then all of them have one at once.
+func TestUnusedDraws(t *testing.T) {
+	for _, l := range []Limit{{workspace, 158, 158}, {workspace, 40, 400}, {workspace, 8, 100}} {
+		for _, nodes := range []int{4, 16, 83} {
+			f := newFleet(nodes, l)
+			f.run(5*time.Second, 0, 1)
+			for i := range nodes {
+				for range 200 {
+					f.nodes[i].Take(f.now, workspace) // only some find a token; the demand counts
+				}
+				f.exchange(i)
+				f.run(2*time.Second, 0, 1)
+			}
+			held := f.bank.tokens[workspace]
+			for _, n := range f.nodes {
+				held += n.Tokens(workspace)
+			}
+			if bound := l.Burst + 0.3*l.Rate + bucketSlack; held > bound {
+				t.Errorf("%d nodes hold %.0f tokens of %+v, want at most %.0f", nodes, held, l, bound)
+			}
+		}
+	}
+}
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -182,7 +182,7 @@
 	sent := time.Now()
 	sending := *c
 	sending.Target = ep.target
-	sending.TargetLatency = max(c.TargetLatency-time.Since(c.Arrived), 0)
+	sending.TargetLatency = remainingTarget(c, sent)
 	sinceBoot := clock.SinceBoot()
 	sending.AskConfig = n.state.configAgeAt(sinceBoot) > askPeersAge
 	resp, err := n.balancer.send(ctx, ep, &sending)
@@ -204,6 +204,18 @@
 	return resp
 }
 
+// remainingTarget returns the time left until the latency target of a call, negative if it
+// has passed and zero if the call has none.
+func remainingTarget(c *hop.Call, now time.Time) time.Duration {
+	if c.TargetLatency == 0 {
+		return 0
+	}
+	if left := c.TargetLatency - now.Sub(c.Arrived); left > 0 {
+		return max(left, time.Millisecond) // the resolution of the header between nodes
+	}
+	return -time.Millisecond
+}
+
 // peerFailed records a failed attempt and returns the response to use for it.
 func (n *Node) peerFailed(ep endpoint, c *hop.Call, err *hop.Error, took time.Duration) *hop.Response {
 	kind := routing.Failed
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -35,9 +35,9 @@
 	return &crashTracker{log: log, publish: publish, runs: quarantine.NewRunTracker(), set: quarantine.NewSet()}
 }
 
-// fingerprint identifies a request by host, caller, method, URI and body. A request that
-// is sent again has the same fingerprint, although its request ID is new and its node may
-// be another one.
+// fingerprint identifies a request by route, workspace, method, URI and body. A request
+// that is sent again has the same fingerprint, although its request ID is new and it may
+// come through the node of another service.
 func fingerprint(c *hop.Call) quarantine.Fingerprint {
 	data := make([]byte, 0, len(c.Method)+len(c.URI)+len(c.Body.Data)+2)
 	data = append(data, c.Method...)
@@ -45,7 +45,7 @@
 	data = append(data, c.URI...)
 	data = append(data, '\n')
 	data = append(data, c.Body.Data...)
-	return quarantine.BodyFingerprint(c.Host, c.Caller, data)
+	return quarantine.BodyFingerprint(c.Route, c.Workspace, data)
 }
 
 // start records that a call is about to run, or refuses it if it has crashed backend
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -37,7 +37,7 @@
 func (q *backendQueue) acquire(ctx context.Context, c *hop.Call) (func(dispatch.Result), *request.Refusal) {
 	now := time.Now()
 	r := dispatch.Request{Route: c.Route, Internal: c.Workspace == "", Importance: c.Importance, Deadline: c.Deadline}
-	if c.TargetLatency > 0 {
+	if c.TargetLatency != 0 {
 		r.SoftDeadline = now.Add(c.TargetLatency)
 	}
 	outcome := make(chan bool, 1)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -626,8 +626,8 @@
 			return false
 		})
 	}
-	for range 3 {
-		c.get(c.nodes[4], "/stock/view/poison", "key-guild")
+	for _, from := range []int{4, 0, 4, 1} { // through nodes of different services
+		c.get(c.nodes[from], "/stock/view/poison", "key-guild")
 		time.Sleep(300 * time.Millisecond)
 	}
 	mu.Lock()
