Let a few nodes follow the store and the others learn of changes from them

Change: package replica decides who follows: in each data centre one node in 48 by rendezvous; the others hold a long poll at one of them, which hands on what is newer than the poller's copy, by the revision of the store, and tells how fresh its configuration is. A node that is asked although it is no follower stands in; one that nobody answers watches the store itself. The holders of the token bank are the nodes that poll the store, and answer exchanges with the freshness of their configuration, so that other nodes need not poll. A first start reads the members once, after all rows are written, and writes the own row once. Ruled out: caching in front of the store for all (needs an owner), gossip (bytes between data centres), a lower rate of polls (the bound on withdrawn keys).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,6 +92,7 @@
 	for _, m := range v.Members() {
 		kept[m.Node] = m
 	}
+	clear(v.versions) // of the earlier era
 	errs := v.Replace(rows)
 	v.kept = kept
 	return errs
@@ -108,23 +109,36 @@
 // Replace replaces the view by all rows of the table. It returns the errors of rows that
 // cannot be decoded; the view has no member for them.
 func (v *View) Replace(rows []platform.Row) []error {
-	clear(v.members)
-	clear(v.versions)
-	v.kept = nil
-	return v.Apply(rows)
+	previous := v.versions
+	v.members, v.versions = map[string]*Member{}, map[string]uint64{}
+	for _, r := range rows {
+		if r.Version == previous[r.Key] && v.kept[r.Key] != nil {
+			continue
+		}
+		delete(v.kept, r.Key)
+	}
+	return v.apply(rows)
 }
 
 // Apply updates the view with changed rows and ignores rows that are older than the
 // known ones. It returns the errors of rows that cannot be decoded; their members are
 // removed.
 func (v *View) Apply(rows []platform.Row) []error {
+	for _, r := range rows {
+		if r.Version > v.versions[r.Key] {
+			delete(v.kept, r.Key)
+		}
+	}
+	return v.apply(rows)
+}
+
+func (v *View) apply(rows []platform.Row) []error {
 	var errs []error
 	for _, r := range rows {
 		if r.Version < v.versions[r.Key] {
 			continue
 		}
 		v.versions[r.Key] = r.Version
-		delete(v.kept, r.Key)
 		if r.Deleted {
 			delete(v.members, r.Key)
 			continue
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -92,3 +92,36 @@
 		}
 	}
 }
+
+// TestCopyKeepsMembers checks that members known before the store came back from a copy stay
+// until their rows are written again, also if the copy is read twice.
+func TestCopyKeepsMembers(t *testing.T) {
+	v := NewView()
+	serving, stopping := Member{Serving: true}, Member{Serving: false}
+	v.Replace([]platform.Row{row(t, "n1", 50, serving), row(t, "n2", 60, serving), row(t, "n3", 70, serving)})
+	copied := []platform.Row{row(t, "n1", 40, stopping)}
+	check := func(when, want string) {
+		t.Helper()
+		got := ""
+		for _, m := range v.Members() {
+			got += fmt.Sprint(m.Node, " ", m.Serving, "; ")
+		}
+		if got != want {
+			t.Errorf("%s: members %q, want %q", when, got, want)
+		}
+	}
+	const all = "n1 true; n2 true; n3 true; "
+	v.ReplaceByCopy(copied)
+	check("after the first read", all)
+	v.Replace(copied)
+	check("after the second read", all)
+	v.Apply([]platform.Row{row(t, "n2", 41, stopping)})
+	check("after n2 is written again", "n1 true; n2 false; n3 true; ")
+	v.Replace([]platform.Row{row(t, "n1", 42, stopping), row(t, "n2", 41, stopping)})
+	check("after n1 is written again", "n1 false; n2 false; n3 true; ")
+	if _, version := v.Member("n3"); version != 0 {
+		t.Errorf("row of n3 has version %d in the store, want none", version)
+	}
+	v.DropKept()
+	check("at last", "n1 false; n2 false; ")
+}
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -105,11 +105,7 @@
 	if len(resp.Hints) > 0 {
 		h[hintsHeader] = []string{pressure.EncodeHints(resp.Hints)}
 	}
-	if resp.Config != nil {
-		// The age is rounded up, so that it is never understated.
-		h[configHeader] = []string{fmt.Sprintf("%d %d", resp.Config.Version, resp.Config.Age.Milliseconds()+1)}
-		h[eraHeader] = []string{strconv.FormatUint(resp.Config.Era, 10)}
-	}
+	SetFreshness(h, resp.Config)
 	if resp.DownstreamFailed {
 		h[downstreamHeader] = []string{"1"}
 	}
@@ -119,6 +115,17 @@
 	}
 }
 
+// SetFreshness adds a node's configuration freshness to a response to another node, unless
+// it is nil.
+func SetFreshness(h http.Header, c *ConfigFreshness) {
+	if c == nil {
+		return
+	}
+	// The age is rounded up, so that it is never understated.
+	h[configHeader] = []string{fmt.Sprintf("%d %d", c.Version, c.Age.Milliseconds()+1)}
+	h[eraHeader] = []string{strconv.FormatUint(c.Era, 10)}
+}
+
 // readNodeHeaders reads the headers of a response from another node and removes them.
 func (resp *Response) readNodeHeaders() error {
 	h := resp.Header
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -85,8 +85,9 @@
 	return nil
 }
 
-// Post sends a message from this node to another one, without retries.
+// Post sends a message from this node to another one, without retries. The response may
+// have a ConfigFreshness.
 func (p *Pool) Post(ctx context.Context, addr, path string, body []byte) (*Response, *Error) {
 	c := &Call{Method: http.MethodPost, URI: path, Host: addr, Body: Body{Data: body, Length: int64(len(body))}}
-	return p.do(ctx, exchange{addr: addr, call: c, header: http.Header{}})
+	return p.do(ctx, exchange{addr: addr, call: c, header: http.Header{}, accept: (*Response).readNodeHeaders})
 }
--- /dev/null
+++ b/internal/replica/table.go
@@ -0,0 +1,90 @@
+// Package replica keeps a node's copies of tables of the store, and decides from whom a
+// node learns of changes.
+//
+// # Load pattern
+//
+// All nodes of a fleet need the same few tables: the configuration, the members, and the
+// crash records. If each node watches the store by itself, every change costs a call per
+// node, and when n nodes start or stop, n changes cost n calls each. Calls to the store are
+// limited and priced, also those that it refuses, and a fleet that restarts as a whole makes
+// them all at once.
+//
+// # Mechanism
+//
+// In each data centre a few nodes watch the store (Plan.Follow). The others hold a long
+// poll at one of them, which hands on what is newer than the poller's own copy
+// (Table.Since). Copies are ordered by the revision of the store, so it does not matter
+// from whom an update comes or whether it comes twice: an older one changes nothing. A
+// node whose sources do not answer, or have lost the store themselves, watches the store
+// until they do.
+package replica
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/teaselseam/teaselseam/platform"
+)
+
+// Update is what a source has sent about a table.
+type Update struct {
+	platform.Revision // up to which the update covers all changes
+	Rows              []platform.Row
+	Snapshot          bool // Rows are all rows of the table, not only changed ones
+}
+
+// Table is a copy of a table as of a revision of the store. The zero value is not loaded.
+// It is not safe for concurrent use.
+type Table struct {
+	loaded   bool
+	revision platform.Revision
+	snapshot platform.Revision       // of the last snapshot; earlier deletions are unknown
+	rows     map[string]platform.Row // by key; deleted rows are kept, for Since
+}
+
+// Loaded reports whether the table has been read.
+func (t *Table) Loaded() bool { return t.loaded }
+
+// Revision returns the revision up to which all changes are known.
+func (t *Table) Revision() platform.Revision { return t.revision }
+
+// Apply takes an update and reports whether it is usable: not older than the copy, and a
+// snapshot if the copy is not loaded or is of an earlier era.
+func (t *Table) Apply(u Update) bool {
+	switch {
+	case t.loaded && u.Revision.Before(t.revision):
+		return false
+	case !u.Snapshot && (!t.loaded || u.Era != t.revision.Era):
+		return false
+	}
+	if u.Snapshot {
+		t.rows, t.snapshot = make(map[string]platform.Row, len(u.Rows)), u.Revision
+	}
+	for _, r := range u.Rows {
+		if known, ok := t.rows[r.Key]; !ok || known.Version <= r.Version {
+			t.rows[r.Key] = r
+		}
+	}
+	t.loaded, t.revision = true, u.Revision
+	return true
+}
+
+// Since returns what a copy at the given revision lacks. Without a change it has no rows.
+// It must be called on a loaded table only.
+func (t *Table) Since(r platform.Revision) Update {
+	u := Update{Revision: t.revision}
+	switch {
+	case r == (platform.Revision{}) || r.Before(t.snapshot):
+		u.Snapshot = true
+	case !r.Before(t.revision):
+		u.Revision = r // the other copy is at least as new
+		return u
+	}
+	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
+		row := t.rows[key]
+		if u.Snapshot && !row.Deleted || !u.Snapshot && row.Version > r.Version {
+			u.Rows = append(u.Rows, row)
+		}
+	}
+	return u
+}
--- a/internal/sidecar/confirm.go
+++ b/internal/sidecar/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/clock"
@@ -16,8 +17,9 @@
 //
 // A watch reports a change at once, but proves that there was none only when it ends.
 // Polling the store has a cost, so only two nodes (the pollers) poll it often. The
-// others learn the age of the pollers' configuration from the responses to calls that
-// they send anyway (hop.ConfigFreshness). A node that learns nothing in time polls the
+// others learn the age of the pollers' configuration from the responses to messages that
+// they send anyway (hop.ConfigFreshness): exchanges with the token bank, which a poller
+// holds, calls, and requests for changes. A node that learns nothing in time polls the
 // store itself, so the bound on revoked keys never depends on other nodes.
 //
 // The age that a peer reports is counted from the time at which the call that asked for
@@ -39,8 +41,12 @@
 	// unsettledPollPause is the time between polls shortly after the store has come back
 	// from a copy, when they may not confirm anything yet.
 	unsettledPollPause = 400 * time.Millisecond
-	// pollerPurpose is the key of the rendezvous hash that selects the pollers.
-	pollerPurpose = "confirm configuration"
+	// pollerPurpose is the key of the rendezvous hash that selects the pollers. They are
+	// those that hold the token bank, with which all nodes exchange messages.
+	pollerPurpose = bankPurpose
+	// feedGrace is half of the longest time for which a node waits for its source after it
+	// has heard of a newer configuration.
+	feedGrace = 150 * time.Millisecond
 )
 
 // confirmAsOf records that the configuration was the newest one at the given time
@@ -76,7 +82,7 @@
 		s.confirmAsOf(sentAt - e.Age)
 	}
 	if e.Version > c.Version || e.Era > s.currentEra() {
-		pace.Wake(s.newerVersion)
+		s.heardOf(e)
 	}
 }
 
@@ -95,11 +101,11 @@
 			age := s.configAge()
 			due = age > pollerAge && age > s.pollAge()
 		case <-s.newerVersion:
-			due = true
+			due = s.stillBehind(ctx)
 		}
-		cursor := s.knownCursor()
-		if !due || cursor == (platform.Revision{}) {
-			continue // no poll is due, or runConfiguration has not read the table yet
+		cursor, loaded := s.configTable.position()
+		if !due || !loaded {
+			continue
 		}
 		if err := s.pollStore(ctx, cursor); err != nil {
 			if ctx.Err() != nil {
@@ -118,10 +124,21 @@
 	}
 }
 
-func (s *storeState) knownCursor() platform.Revision {
+// heardOf records what a peer knows and this node does not.
+func (s *storeState) heardOf(e hop.ConfigFreshness) {
+	s.mu.Lock()
+	s.heard.Version, s.heard.Era = max(s.heard.Version, e.Version), max(s.heard.Era, e.Era)
+	s.mu.Unlock()
+	pace.Wake(s.newerVersion)
+}
+
+// stillBehind reports whether the node still lacks what it has heard of after the time in
+// which its source usually hands on a change.
+func (s *storeState) stillBehind(ctx context.Context) bool {
+	sleep(ctx, feedGrace+time.Duration(rand.Float64()*float64(feedGrace)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.configCursor
+	return s.configuration == nil || s.heard.Version > s.configuration.Version || s.heard.Era > s.era.Era()
 }
 
 // pollStore asks the store for changes without waiting. If the store has dropped the
@@ -143,7 +160,7 @@
 		return errEarlierEra
 	}
 	u.rows, u.revision = changes.Rows, changes.Revision
-	s.applyConfiguration(u)
+	s.update(s.configTable, u)
 	return nil
 }
 
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -129,7 +129,7 @@
 
 // republishCrashes writes the crash records that are missing among the rows of a store
 // that has come back from a copy, if this node is one of those chosen to do so.
-func (n *Node) republishCrashes(ctx context.Context, rows []platform.Row) {
+func (n *Node) republishCrashes(rows []platform.Row) {
 	stored := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		stored[r.Key] = true
@@ -139,10 +139,7 @@
 		if stored[id] || !n.isChosen("crash record "+id, crashRecordWriters) {
 			continue
 		}
-		sleep(ctx, time.Duration(rand.Float64()*float64(maxRepublishDelay)))
-		if ctx.Err() != nil {
-			return
-		}
+		time.Sleep(time.Duration(rand.Float64() * float64(maxRepublishDelay)))
 		n.publishCrash(id, quarantine.Encode(quarantine.Evidence{Deaths: []quarantine.Death{d}}))
 	}
 }
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -52,13 +52,19 @@
 // write whose response was lost may still be performed seconds later, and must not
 // overwrite a newer one.
 func (m *memberRow) run(ctx context.Context) error {
-	select {
-	case <-m.n.state.fleetLoaded:
-	case <-ctx.Done():
-		return nil
-	}
-	m.restoreBackend()
 	var row storedRow
+	if m.n.settings.FirstStart {
+		row = m.writeFirst(ctx)
+	}
+	if row.member == nil {
+		select {
+		case <-m.n.state.fleetLoaded:
+		case <-ctx.Done():
+			return nil
+		}
+		m.restoreBackend()
+		m.awaitAnnouncement(ctx)
+	}
 	failures := 0
 	for ctx.Err() == nil {
 		if own := m.n.state.ownRow.Load(); own != nil && !own.revision.Before(row.revision) {
@@ -87,6 +93,34 @@
 	return nil
 }
 
+// writeFirst writes the row without having read the table, which at the first start of the
+// fleet has none for this node. It returns the zero value if the row could not be written.
+func (m *memberRow) writeFirst(ctx context.Context) storedRow {
+	m.awaitAnnouncement(ctx)
+	row, err := m.update(ctx, storedRow{}, m.desired())
+	if err != nil {
+		m.n.log.Warn("own row could not be written to the store at the first start", "event", "member", "err", err)
+		return storedRow{}
+	}
+	return row
+}
+
+// awaitAnnouncement waits a little for the first announcement of the backend server, unless
+// it is known already, so that the row is not written twice at the start.
+func (m *memberRow) awaitAnnouncement(ctx context.Context) {
+	t := time.NewTimer(m.n.settings.AnnounceInterval + m.n.settings.AnnounceInterval/2)
+	defer t.Stop()
+	for m.n.guard.announcement().ID == "" {
+		select {
+		case <-m.wake:
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // storedRow is the row as last known to be in the store.
 type storedRow struct {
 	member   *fleet.Member // nil if there is none or its content is unknown
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -135,6 +135,7 @@
 	peers.HandleFunc(bankPath, n.tokens.serveBank)
 	peers.HandleFunc(livenessPath, serveLiveness)
 	peers.HandleFunc(configurationPath, n.state.serveConfiguration)
+	peers.HandleFunc(feedPath, n.state.serveFeed)
 	peers.HandleFunc("/", n.guard.serve)
 	control := http.HandlerFunc(n.serveControl)
 	lc := net.ListenConfig{KeepAliveConfig: hop.KeepAlive, Control: hop.SetUserTimeout}
@@ -181,9 +182,10 @@
 			return nil
 		})
 	}
-	g.Go(func() error { return n.state.runConfiguration(work) })
-	g.Go(func() error { return n.state.runFleet(work) })
-	g.Go(func() error { return n.state.runCrashRecords(work) })
+	for _, t := range n.state.tables {
+		g.Go(func() error { return n.state.followTable(work, t) })
+	}
+	g.Go(func() error { return n.state.runFeed(work) })
 	g.Go(func() error { return n.state.runConfigurationPolling(work) })
 	g.Go(func() error { return n.member.run(work) })
 	g.Go(func() error { return n.tokens.run(work) })
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -43,6 +43,7 @@
 	n.acceptUntil.Store(int64(began.Sub(n.startedAt) + time.Duration(acceptFraction*float64(grace))))
 	n.log.Info("node is stopping", "event", "stopping", "active", n.activeRequests.Load())
 	n.member.scheduleUpdate()
+	n.state.signalChange() // ends the requests of nodes that this node feeds
 	deadline := began.Add(grace - killMargin)
 	idleSince := began
 	for now := began; now.Before(deadline); now = time.Now() {
--- a/internal/sidecar/storeera.go
+++ b/internal/sidecar/storeera.go
@@ -67,9 +67,9 @@
 	s.watchesEnd = make(chan struct{})
 }
 
-// onEraEnd calls f once a later era than the given one is known or watches are to be
+// onWatchesEnd calls f once a later era than the given one is known or watches are to be
 // aborted, unless stop is called first.
-func (s *storeState) onEraEnd(known uint64, f func()) (stop func()) {
+func (s *storeState) onWatchesEnd(known uint64, f func()) (stop func()) {
 	s.mu.Lock()
 	ended, current := s.watchesEnd, s.era.Era()
 	s.mu.Unlock()
--- a/internal/sidecar/storestate.go
+++ b/internal/sidecar/storestate.go
@@ -13,31 +13,15 @@
 	"github.com/teaselseam/teaselseam/internal/clock"
 	"github.com/teaselseam/teaselseam/internal/era"
 	"github.com/teaselseam/teaselseam/internal/fleet"
+	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/operator"
+	"github.com/teaselseam/teaselseam/internal/replica"
 	"github.com/teaselseam/teaselseam/internal/settings"
 	"github.com/teaselseam/teaselseam/internal/share"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
 const (
-	// configWatchWait is the long-poll wait for configuration changes. It may be long: the
-	// store responds to a change at once, and confirm.go polls more often to verify that
-	// there was none.
-	configWatchWait = 20 * time.Second
-	// fleetWatchWait is the long-poll wait for the fleet table and the crash records.
-	fleetWatchWait = 25 * time.Second
-	// Fleet changes are batched so that the start of n nodes does not make each of them
-	// call the store n times. The delay is fleetDelayPerMember times the number of
-	// members, within bounds. When 16 nodes came back after a power loss, 0.75 of the
-	// requests of the first two seconds were served with a delay of 0.25 s, and 0.34
-	// with 1 s.
-	fleetDelayPerMember = 5 * time.Millisecond
-	minFleetDelay       = 250 * time.Millisecond
-	maxFleetDelay       = time.Second
-	// watchTimeoutMargin is added to the requested wait to get the timeout of a watch. A
-	// slow store takes 60 times its usual 4 ms.
-	watchTimeoutMargin = time.Second
-	storeReadTimeout   = 2 * time.Second
 	// Bounds of the exponential backoff after failed store calls.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
@@ -73,9 +57,7 @@
 	configValue  []byte
 	settingsTree *settings.Tree // nil if there is none
 	treeLineage  era.Lineage
-	// configCursor is the revision up to which changes of the configuration table are
-	// known; the zero value before the table has been read.
-	configCursor platform.Revision
+	heard        hop.ConfigFreshness // newest version and era that peers have told of
 
 	catalog       atomic.Pointer[catalog.Catalog]
 	confirmedAsOf atomic.Int64  // time since boot at which the configuration was known to be the newest
@@ -87,6 +69,8 @@
 	fleetMu   sync.Mutex // serialises updates of the members
 	fleetView *fleet.View
 	fleetEra  uint64 // of the versions in fleetView
+
+	replication
 }
 
 // ownRow is the node's own row in the fleet table; member is nil if there is none.
@@ -102,6 +86,7 @@
 	}
 	s.members.Store(&[]*fleet.Member{})
 	s.confirmedAsOf.Store(-int64(time.Hour))
+	s.replication.init(s)
 	return s
 }
 
@@ -117,18 +102,10 @@
 // longer than Bounds.Revoke allows.
 func (s *storeState) keysValid() bool { return s.configAge() < s.n.bounds.Load().Revoke-revokeMargin }
 
-// runConfiguration keeps the operator's configuration up to date.
-func (s *storeState) runConfiguration(ctx context.Context) error {
-	return s.followTable(ctx, followedTable{name: platform.ConfigurationTable, wait: configWatchWait, apply: s.applyConfiguration})
-}
-
 // applyConfiguration applies an update of the configuration table.
 func (s *storeState) applyConfiguration(u update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if u.revision.Era < s.era.Era() {
-		return // a later era became known in the meantime
-	}
 	for _, r := range u.rows {
 		if !r.Deleted {
 			s.applyConfigurationRow(r, u.revision.Era)
@@ -137,10 +114,7 @@
 	if len(u.rows) > 0 {
 		s.publishCatalog()
 	}
-	if s.configCursor.Before(u.revision) {
-		s.configCursor = u.revision
-	}
-	if asOf := u.validAsOf(); s.era.Confirms(asOf) {
+	if asOf := u.validAsOf(); !u.fromPeer && s.era.Confirms(asOf) {
 		s.confirmAsOf(asOf)
 	}
 }
@@ -209,27 +183,11 @@
 		"routes", len(next.Routes()), "workspaces", len(next.Workspaces()))
 }
 
-// runFleet keeps the view of the members up to date.
-func (s *storeState) runFleet(ctx context.Context) error {
-	first := true
-	return s.followTable(ctx, followedTable{
-		name: fleet.Table, wait: fleetWatchWait, delayAfterChange: s.fleetDelay,
-		apply: func(u update) {
-			s.applyFleet(u, first)
-			if u.afterCopy {
-				time.AfterFunc(era.Settle, s.dropKeptMembers)
-			}
-			if first {
-				first = false
-				close(s.fleetLoaded)
-			}
-		},
-	})
-}
-
-func (s *storeState) applyFleet(u update, first bool) {
+// applyFleet applies an update of the table of members.
+func (s *storeState) applyFleet(u update) {
 	s.fleetMu.Lock()
 	defer s.fleetMu.Unlock()
+	first := !isClosed(s.fleetLoaded)
 	var errs []error
 	switch {
 	case u.afterCopy:
@@ -246,6 +204,12 @@
 	if len(u.rows) > 0 || u.snapshot {
 		s.publishFleet(first)
 	}
+	if u.afterCopy {
+		time.AfterFunc(era.Settle, s.dropKeptMembers)
+	}
+	if first {
+		close(s.fleetLoaded)
+	}
 }
 
 // dropKeptMembers ends the precedence of the members known from before the store came back
@@ -269,24 +233,16 @@
 	return out
 }
 
-// fleetDelay returns the time over which fleet changes are batched.
-func (s *storeState) fleetDelay() time.Duration {
-	delay := time.Duration(len(*s.members.Load())) * fleetDelayPerMember
-	return min(max(delay, minFleetDelay), maxFleetDelay)
-}
-
-// runCrashRecords applies the records of backend server crashes that nodes write.
-func (s *storeState) runCrashRecords(ctx context.Context) error {
-	return s.followTable(ctx, followedTable{name: fleet.DeathTable, wait: fleetWatchWait, apply: func(u update) {
-		for _, r := range u.rows {
-			if !r.Deleted {
-				s.n.crashes.applyRecord(r.Value)
-			}
-		}
-		if u.afterCopy {
-			go s.n.republishCrashes(ctx, u.rows)
+// applyCrashRecords applies the records of backend server crashes that nodes write.
+func (s *storeState) applyCrashRecords(u update) {
+	for _, r := range u.rows {
+		if !r.Deleted {
+			s.n.crashes.applyRecord(r.Value)
 		}
-	}})
+	}
+	if u.afterCopy {
+		go s.n.republishCrashes(u.rows)
+	}
 }
 
 // publishFleet publishes the view of the members. The caller holds fleetMu.
@@ -298,96 +254,10 @@
 	s.n.balancer.setMembers(time.Now(), members, first)
 	s.n.applyLimits()
 	s.n.member.scheduleUpdate()
+	s.setPlan(replica.NewPlan(s.n.settings.Node, s.n.settings.DataCentre, members))
 	s.log.Info("fleet changed", "event", "fleet", "members", len(members))
 }
 
-// followedTable describes a table of the store that the node keeps up to date.
-type followedTable struct {
-	name string
-	wait time.Duration // long-poll wait for a change
-	// delayAfterChange returns the time between a change and the next call.
-	delayAfterChange func() time.Duration // nil for no delay
-	apply            func(update)
-}
-
-// update is the store's response about a table.
-type update struct {
-	rows     []platform.Row
-	snapshot bool          // rows has all rows of the table, not only those that changed
-	sentAt   time.Duration // time since boot at which the call was sent
-	duration time.Duration
-	wait     time.Duration // requested long-poll wait
-	// revision is the state of the store up to which the response covers all changes.
-	revision platform.Revision
-	// afterCopy is true for the first snapshot after the store came back from an older
-	// copy.
-	afterCopy bool
-}
-
-// errEarlierEra is the failure of a call whose response is of an earlier era than known.
-var errEarlierEra = errors.New("response is from before the store came back from a copy")
-
-// followTable reads a table and then watches its changes until ctx ends. It reads the
-// whole table again if the store has dropped the history or come back from an older copy.
-func (s *storeState) followTable(ctx context.Context, t followedTable) error {
-	var cursor platform.Revision
-	loaded, loadedBefore := false, false
-	failures := 0
-	for ctx.Err() == nil {
-		u := update{snapshot: !loaded, sentAt: clock.SinceBoot(), wait: t.wait}
-		changes, err := s.fetch(ctx, t.name, cursor, loaded, t.wait)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err == nil && s.observe(changes.Revision) == era.Earlier {
-			err = errEarlierEra
-		}
-		if loaded && s.currentEra() != cursor.Era {
-			loaded = false
-			sleep(ctx, time.Duration(rand.Float64()*float64(maxReloadJitter)))
-			continue
-		}
-		if err != nil {
-			failures++
-			lost := errors.Is(err, platform.ErrHistoryLost)
-			s.recordFailure(t.name, failures, err)
-			if loaded = loaded && !lost; !lost {
-				backoff(ctx, failures)
-			}
-			continue
-		}
-		if failures > 0 {
-			s.log.Info("store calls succeed again", "event", "store", "table", t.name, "failures", failures)
-			failures = 0
-		}
-		u.rows, u.revision, u.duration = changes.Rows, changes.Revision, clock.SinceBoot()-u.sentAt
-		u.afterCopy = loadedBefore && changes.Era != cursor.Era
-		t.apply(u)
-		cursor, loaded, loadedBefore = changes.Revision, true, true
-		if len(u.rows) > 0 && t.delayAfterChange != nil {
-			sleep(ctx, t.delayAfterChange())
-		}
-	}
-	return nil
-}
-
-// fetch reads the whole table if it is not loaded, and otherwise watches it for changes
-// after the cursor until the era of the cursor ends.
-func (s *storeState) fetch(ctx context.Context, name string, cursor platform.Revision, loaded bool, wait time.Duration) (platform.Changes, error) {
-	timeout := storeReadTimeout
-	if loaded {
-		timeout = wait + watchTimeoutMargin
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	if !loaded {
-		return s.n.store.Read(ctx, name, "")
-	}
-	stop := s.onEraEnd(cursor.Era, cancel)
-	defer stop()
-	return s.n.store.Watch(ctx, name, cursor.Version, wait)
-}
-
 // recordFailure counts a failed store call and logs the first of a series.
 func (s *storeState) recordFailure(table string, failures int, err error) {
 	s.n.metrics.Counter("teaselseam_store_failures_total").Inc()
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -12,7 +12,9 @@
 
 	"github.com/samber/oops"
 
+	"github.com/teaselseam/teaselseam/internal/clock"
 	"github.com/teaselseam/teaselseam/internal/fleet"
+	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/pace"
 	"github.com/teaselseam/teaselseam/internal/share"
 )
@@ -174,10 +176,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, bankExchangeTimeout)
 	defer cancel()
+	sentAt := clock.SinceBoot()
 	resp, callErr := t.n.peers.Post(ctx, addr, bankPath, body)
 	if callErr != nil {
 		return nil, oops.With("step", "share exchange", "peer", addr).Wrap(callErr)
 	}
+	if resp.Config != nil {
+		t.n.state.applyPeerFreshness(*resp.Config, sentAt)
+	}
 	if resp.Status != http.StatusOK {
 		return nil, oops.With("step", "share exchange", "peer", addr).Errorf("status %d", resp.Status)
 	}
@@ -213,6 +219,7 @@
 		return
 	}
 	w.Header()["Date"] = nil
+	hop.SetFreshness(w.Header(), t.n.state.configFreshness())
 	_, _ = w.Write(body) // the tokens of a lost response are lost, so the limit still holds
 }
 
