Stand-ins watch the store at once; nodes that start again do not wait for a silent source

Nodes without a configuration polled the store. Change: a node that is asked watches at once; within 5 s of its start a node watches the store after one round without an answer; a node that knows no configuration does not poll for its age. TestFleetRestarts also passes without the change: on loopback a source that is down refuses at once.

--- a/internal/sidecar/confirm.go
+++ b/internal/sidecar/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -164,8 +165,12 @@
 	return nil
 }
 
-// pollAge returns the configuration age at which this node polls the store.
+// pollAge returns the configuration age at which this node polls the store. One that knows
+// no configuration yet has nothing to confirm: its source brings the first.
 func (s *storeState) pollAge() time.Duration {
+	if s.catalog.Load() == nil && !s.watching.isOpen() {
+		return math.MaxInt64
+	}
 	if s.n.isChosen(pollerPurpose, pollerCount) {
 		return pollerAge
 	}
--- a/internal/sidecar/feed.go
+++ b/internal/sidecar/feed.go
@@ -44,6 +44,8 @@
 	// maxFeedFailures is how many rounds in which no source answers a node waits before it
 	// watches the store itself: nodes that start together answer after a moment.
 	maxFeedFailures = 3
+	// restartTime is how long after its start a node does not wait so.
+	restartTime = 5 * time.Second
 	// maxStaleRounds is how often a source that answers without having the store is asked
 	// again before the next one: it may just be starting.
 	maxStaleRounds = 2
@@ -100,12 +102,17 @@
 	return p, standInUntil
 }
 
-// standIn makes a node that is not a follower watch the store for a while.
+// standIn makes a node that is not a follower watch the store for a while. It does so at
+// once, even if the node still waits for a source of its own.
 func (s *storeState) standIn() {
 	s.replicaMu.Lock()
-	defer s.replicaMu.Unlock()
-	if !s.plan.Follow {
+	follows := s.plan.Follow
+	if !follows {
 		s.standInUntil = time.Now().Add(standInTime)
+	}
+	s.replicaMu.Unlock()
+	if !follows {
+		s.setWatching(true, "stands in")
 		pace.Wake(s.planChanged)
 	}
 }
@@ -144,17 +151,19 @@
 		switch f.ask(ctx, plan.Sources) {
 		case sourceAnswered:
 			failures = 0
-			s.setWatching(false, "another node answers")
+			if p, _ := s.currentPlan(); !p.Follow {
+				s.setWatching(false, "another node answers")
+			}
 			continue
 		case sourceStale:
-			if s.configAge() > maxSourceAge {
+			if s.configAge() > maxSourceAge && s.catalog.Load() != nil {
 				// This node has lost the store as well; confirm.go keeps trying it.
 				sleep(ctx, feedRetryPause)
 				continue
 			}
 		case sourceSilent:
 		}
-		if failures++; failures < maxFeedFailures {
+		if failures++; failures < s.maxFeedFailures() {
 			sleep(ctx, feedRetryPause)
 			continue
 		}
@@ -164,6 +173,16 @@
 	return nil
 }
 
+// maxFeedFailures returns how many rounds in which no source answers the node waits before
+// it watches the store. When a whole fleet starts again, its sources are starting too, and
+// the backend servers that it knows from the store have been replaced.
+func (s *storeState) maxFeedFailures() int {
+	if !s.n.settings.FirstStart && time.Since(s.n.startedAt) < restartTime {
+		return 1
+	}
+	return maxFeedFailures
+}
+
 // awaitPlanChange waits for another plan, and until the given time if that is not zero.
 func (s *storeState) awaitPlanChange(ctx context.Context, until time.Time) {
 	if !until.IsZero() {
--- a/internal/sidecar/feed_test.go
+++ b/internal/sidecar/feed_test.go
@@ -27,12 +27,9 @@
 // watchers returns the nodes that watch the store.
 func (c *cluster) watchers() (out []*testNode) {
 	for _, n := range c.nodes {
-		g := &n.node.state.watching
-		g.mu.Lock()
-		if g.open {
+		if n.node.state.watching.isOpen() {
 			out = append(out, n)
 		}
-		g.mu.Unlock()
 	}
 	return out
 }
@@ -213,3 +210,53 @@
 		t.Errorf("%d writes by %d nodes, want 1 each", got, len(c.nodes))
 	}
 }
+
+// TestFleetRestarts guards against nodes that serve late after all of them and their backend
+// servers have been killed, because those from which they learn of the new backend servers
+// are not back yet.
+func TestFleetRestarts(t *testing.T) {
+	c := newFleetOf(t, 10)
+	followers := map[*testNode]bool{}
+	for _, n := range c.nodes {
+		if replica.NewPlan(n.settings.Node, n.settings.DataCentre, *n.node.state.members.Load()).Follow {
+			followers[n] = true
+		}
+	}
+	for _, n := range c.nodes {
+		n.node.kill()
+		n.stop()
+		n.killBackend()
+	}
+	for _, n := range c.nodes {
+		<-n.stopped
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, n := range c.nodes {
+		if !followers[n] {
+			c.startNode(n)
+			c.startBackend(n, "again-"+n.settings.Node)
+		}
+	}
+	started := time.Now()
+	for _, n := range c.nodes {
+		if followers[n] {
+			continue
+		}
+		// Several in a row, so that not only the backend server beside the node serves.
+		for range 8 {
+			c.eventually("the node serves again", func() bool { return c.get(n, "/stock/view/1", "key-guild").served() })
+		}
+		c.eventually("the node knows the new backend servers", func() bool {
+			known := 0
+			for _, m := range *n.node.state.members.Load() {
+				if strings.HasPrefix(m.Backend.ID, "again-") {
+					known++
+				}
+			}
+			return known == len(c.nodes)-len(followers)
+		})
+	}
+	if took := time.Since(started); took > time.Second {
+		t.Errorf("all nodes serve with the new backend servers after %v, want at most 1 s", took)
+	}
+}
--- a/internal/sidecar/replication.go
+++ b/internal/sidecar/replication.go
@@ -264,6 +264,12 @@
 	return true
 }
 
+func (g *gate) isOpen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open
+}
+
 // wait waits until the gate is open. It returns false when ctx ends.
 func (g *gate) wait(ctx context.Context) bool {
 	for ctx.Err() == nil {
