Do not answer again and again while the store is empty; ask peers while behind

a node that had heard of a configuration which the store lacks asked peers for it only within 2 s of the store's return.

--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -49,6 +49,18 @@
 	return fmt.Sprint(out)[1 : len(fmt.Sprint(out))-1]
 }
 
+// TestNothingToHandOn guards against a source that answers at once with nothing, again and
+// again, while the store is still empty.
+func TestNothingToHandOn(t *testing.T) {
+	for _, r := range []platform.Revision{{}, {Era: 1}, {Era: 1, Version: 7}} {
+		var table Table
+		table.Apply(Update{Revision: r, Snapshot: true})
+		if u := table.Since(r); u.Snapshot || len(u.Rows) > 0 {
+			t.Errorf("a copy at %v gets %+v from one at the same revision", r, u)
+		}
+	}
+}
+
 // TestCopiesConverge checks that copies which learn from each other, in any order and with
 // any losses, never hold anything but a state that the store had, and have its latest
 // state after an exchange with one that has it. The store writes, deletes, and comes back
--- a/internal/replica/table.go
+++ b/internal/replica/table.go
@@ -73,13 +73,11 @@
 // It must be called on a loaded table only.
 func (t *Table) Since(r platform.Revision) Update {
 	u := Update{Revision: t.revision}
-	switch {
-	case r == (platform.Revision{}) || r.Before(t.snapshot):
-		u.Snapshot = true
-	case !r.Before(t.revision):
+	if !r.Before(t.revision) {
 		u.Revision = r // the other copy is at least as new
 		return u
 	}
+	u.Snapshot = r == (platform.Revision{}) || r.Before(t.snapshot)
 	for _, key := range slices.Sorted(maps.Keys(t.rows)) {
 		row := t.rows[key]
 		if u.Snapshot && !row.Deleted || !u.Snapshot && row.Version > r.Version {
--- a/internal/sidecar/confirm.go
+++ b/internal/sidecar/confirm.go
@@ -124,8 +124,8 @@
 			continue
 		}
 		failures = 0
-		if !s.settled() {
-			s.learnFromPeers(ctx)
+		if !s.settled() || s.isBehind() {
+			s.learnFromPeers(ctx) // the store may have lost what peers still know
 			sleep(ctx, unsettledPollPause)
 		}
 	}
@@ -143,6 +143,11 @@
 // which its source usually hands on a change.
 func (s *storeState) stillBehind(ctx context.Context) bool {
 	sleep(ctx, feedGrace+time.Duration(rand.Float64()*float64(feedGrace)))
+	return s.isBehind()
+}
+
+// isBehind reports whether the node lacks a configuration or an era that it has heard of.
+func (s *storeState) isBehind() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.configuration == nil || s.heard.Version > s.configuration.Version || s.heard.Era > s.era.Era()
