Back up and restore the operator's table

Cause: when the store comes back from an older copy, nodes keep the configuration that is in force, but nobody could write the lost entries of the audit trail again, nor the tree and keys as they were. Change: teaselseam backup and restore. A restore writes what is missing on the condition that nothing has changed, the audit trail first, and refuses if the store has changes that the backup lacks.

--- a/cmd/teaselseam/main.go
+++ b/cmd/teaselseam/main.go
@@ -43,6 +43,8 @@
 	Effective effectiveCmd `cmd:"" help:"Show the effective values of a branch and where each comes from."`
 	Key       keyCmd       `cmd:"" help:"Issue, list and revoke workspace keys."`
 	Audit     auditCmd     `cmd:"" help:"Show who changed what, and when."`
+	Backup    backupCmd    `cmd:"" help:"Write the settings tree, keys and audit trail to a file."`
+	Restore   restoreCmd   `cmd:"" help:"Write what the store lacks of a backup, after it came back from an older copy."`
 	Status    statusCmd    `cmd:"" help:"Show the status of a node."`
 	Follow    followCmd    `cmd:"" help:"Follow a request through the logs of several nodes."`
 }
@@ -106,7 +108,7 @@
 		return exitOK
 	case errors.Is(err, operator.ErrInvalid):
 		return exitUsage
-	case errors.Is(err, operator.ErrConflict):
+	case errors.Is(err, operator.ErrConflict), errors.Is(err, operator.ErrDiverged):
 		return exitConflict
 	case errors.Is(err, operator.ErrOutcomeUnknown):
 		return exitOutcomeUnknown
--- a/cmd/teaselseam/main_test.go
+++ b/cmd/teaselseam/main_test.go
@@ -105,3 +105,45 @@
 		t.Errorf("got %q, want %q", out, want)
 	}
 }
+
+// TestBackupAndRestore guards against a backup that others can read, and against a restore
+// that reports another change than it makes.
+func TestBackupAndRestore(t *testing.T) {
+	store := standin.NewStore()
+	server := httptest.NewServer(store.OperatorHandler())
+	t.Cleanup(server.Close)
+	h := &harness{t, strings.TrimPrefix(server.URL, "http://")}
+	edit := func(text string) {
+		t.Helper()
+		if code, _, e := h.run("tree", "edit", h.writeFile(text)); code != exitOK {
+			t.Fatalf("edit: %d %s", code, e)
+		}
+	}
+	edit("[workspace guild]\nrate = 20\n")
+	copied := store.Copy()
+	edit("[workspace guild]\nrate = 30\n")
+	file := filepath.Join(t.TempDir(), "backup.json")
+	if code, out, e := h.run("backup", file); code != exitOK || !strings.Contains(out, "version 2") {
+		t.Fatalf("backup: %d %s %s", code, out, e)
+	}
+	if info, err := os.Stat(file); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("backup file: %v, %v; want mode 0600", info.Mode(), err)
+	}
+	store.ComeBack(copied)
+	for _, args := range [][]string{{"restore", "--dry-run", file}, {"restore", file}} {
+		if code, out, e := h.run(args...); code != exitOK || !strings.Contains(out, "configuration 1 -> 2, 1 entries") {
+			t.Errorf("%v: %d %s %s", args, code, out, e)
+		}
+	}
+	if _, out, _ := h.run("tree", "show"); !strings.Contains(out, "rate = 30") {
+		t.Errorf("tree after the restore: %s", out)
+	}
+	store.ComeBack(copied)
+	edit("[workspace guild]\nrate = 40\n")
+	if code, _, _ := h.run("restore", file); code != exitConflict {
+		t.Errorf("restore over a later change: exit code %d, want %d", code, exitConflict)
+	}
+	if code, _, _ := h.run("restore", h.writeFile("no backup")); code != exitUsage {
+		t.Errorf("restore of another file: exit code %d, want %d", code, exitUsage)
+	}
+}
--- a/internal/operator/store.go
+++ b/internal/operator/store.go
@@ -86,6 +86,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return newSnapshot(rows)
+}
+
+// newSnapshot decodes the rows of the operator's table.
+func newSnapshot(rows platform.Changes) (*snapshot, error) {
 	s := &snapshot{FleetConfig: &FleetConfig{Tree: settings.NewTree(), Keys: map[string][]string{}}, era: rows.Era}
 	for _, r := range rows.Rows {
 		if err := s.addRow(r); err != nil {
@@ -113,11 +118,11 @@
 		}
 		s.Tree, s.treeVersion = tree, r.Version
 	case strings.HasPrefix(r.Key, auditPrefix):
-		var entry AuditEntry
-		if err := json.Unmarshal(r.Value, &entry); err != nil {
+		entry, err := decodeAuditEntry(r)
+		if err != nil {
 			return err
 		}
-		s.auditTrail = append(s.auditTrail, entry)
+		s.auditTrail = append(s.auditTrail, *entry)
 		if r.Version >= s.lastAudit.Version {
 			s.lastAudit = r
 		}
@@ -125,6 +130,14 @@
 	return nil
 }
 
+func decodeAuditEntry(r platform.Row) (*AuditEntry, error) {
+	var entry AuditEntry
+	if err := json.Unmarshal(r.Value, &entry); err != nil {
+		return nil, fmt.Errorf("row %q: %w", r.Key, err)
+	}
+	return &entry, nil
+}
+
 // Apply reads the configuration, applies edit to it, commits the result and returns its
 // entry in the audit trail. edit is called once and returns the entry's summary.
 func (c *Client) Apply(ctx context.Context, edit func(*FleetConfig) (summary string, err error)) (*AuditEntry, error) {
@@ -143,16 +156,21 @@
 	if err != nil {
 		return nil, err
 	}
-	_, _, err = c.store.Commit(ctx, tx)
+	if _, _, err = c.store.Commit(ctx, tx); err != nil {
+		return nil, commitError(err)
+	}
+	return entry, nil
+}
+
+// commitError adds the package's own error to the error of a transaction.
+func commitError(err error) error {
 	switch {
 	case errors.Is(err, platform.ErrConflict):
-		return nil, fmt.Errorf("%w: %w", ErrConflict, err)
+		return fmt.Errorf("%w: %w", ErrConflict, err)
 	case errors.Is(err, platform.ErrOutcomeUnknown):
-		return nil, fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-	case err != nil:
-		return nil, err
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 	}
-	return entry, nil
+	return err
 }
 
 // eraVersionBits is the position of the store's era in configuration versions.
