--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -15,6 +15,14 @@
 // followed by no further data. Before reuse it must still be open and have no
 // unread data. A response with another ID is a late response to an earlier request;
 // it is skipped, and the connection is closed after the exchange.
+//
+// # Bytes without end
+//
+// A faulty peer may send bytes that are no response until the connection is closed. The
+// head of a response is bounded in size and in time from its first byte, must begin like a
+// response, and is checked before the body is read. A body without a stated length ends
+// with an error at a maximum size. In all these cases the connection is closed and the
+// exchange fails at once, with Error.Sent set.
 package hop
 
 import (
