--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -398,3 +398,24 @@
 		t.Errorf("%d connections for 3 non-idempotent requests, want 3", n)
 	}
 }
+
+// TestReuseAfterDeadline guards against opening a new connection for each of several short
+// exchanges, because the deadline of the one before it still holds for an idle connection.
+func TestReuseAfterDeadline(t *testing.T) {
+	s := serve(t, func(c net.Conn, r *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	p := newTestPool()
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		if _, err := p.Post(ctx, s.addr, "/", nil); err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		time.Sleep(100 * time.Millisecond)
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Errorf("%d connections for 3 exchanges, want 1", n)
+	}
+}
