--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -21,8 +21,9 @@
 // A faulty peer may send bytes that are no response until the connection is closed. The
 // head of a response is bounded in size and in time from its first byte, must begin like a
 // response, and is checked before the body is read. A body without a stated length ends
-// with an error at a maximum size. In all these cases the connection is closed and the
-// exchange fails at once, with Error.Sent set.
+// with an error at a maximum size. The connection is closed in all these cases. An exchange
+// whose head is rejected fails with Error.Sent set; a body that has begun to be streamed
+// fails at its reader. A body that arrives slowly has the time of its call.
 package hop
 
 import (
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -821,3 +821,51 @@
 		}
 	}
 }
+
+// TestRemainingTarget guards against sending a latency target that has passed as none.
+func TestRemainingTarget(t *testing.T) {
+	arrived := time.Now()
+	for _, x := range []struct{ target, waited, want time.Duration }{
+		{0, time.Second, 0},
+		{time.Second, 400 * time.Millisecond, 600 * time.Millisecond},
+		{time.Second, time.Second - time.Microsecond, time.Millisecond},
+		{time.Second, time.Second, -time.Millisecond},
+		{time.Second, 2 * time.Second, -time.Millisecond},
+	} {
+		c := &hop.Call{Arrived: arrived, TargetLatency: x.target}
+		if got := remainingTarget(c, arrived.Add(x.waited)); got != x.want {
+			t.Errorf("target %v after %v: %v left, want %v", x.target, x.waited, got, x.want)
+		}
+	}
+}
+
+// TestNodeHeadersFromCaller guards against passing on headers of nodes that a caller sends.
+func TestNodeHeadersFromCaller(t *testing.T) {
+	c := newCluster(t, "stock")
+	got := make(chan http.Header, 1)
+	c.nodes[0].backend.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+		got <- r.Header.Clone()
+		return false
+	})
+	req, err := http.NewRequest(http.MethodGet, "http://"+c.nodes[0].settings.CallerAddress+"/stock/view/1", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "shop.example"
+	for name, value := range map[string]string{
+		"Request-Id": newID(), "Deadline-Ms": "2000", "Authorization": "Bearer key-guild",
+		hop.CallHeader: "forged", "Teaselseam-Ask-Config": "1", "Teaselseam-Downstream": "1",
+	} {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("%+v, %v", resp, err)
+	}
+	resp.Body.Close()
+	for name := range <-got {
+		if strings.HasPrefix(name, "Teaselseam-") {
+			t.Errorf("header %s of the caller reaches the backend server", name)
+		}
+	}
+}
--- a/internal/sidecar/storeera.go
+++ b/internal/sidecar/storeera.go
@@ -53,8 +53,8 @@
 	return s.era.Settled(clock.SinceBoot())
 }
 
-// abortWatches ends the pending watches, so that the next calls use the new address of the
-// store.
+// abortWatches ends the pending watches: they are sent again, to the present address of the
+// store, if this node still watches it.
 func (s *storeState) abortWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
