Log the rate limit that a backend server names in its responses

Neither logs nor metrics could tell whether a node reads Server-Limit, keeps it, or loses it at a restart. The adapter decodes Server-Limit and Server-Leaving, package backend keeps the limit of the present incarnation, and the node beside the backend server logs each change, exports it and shows it in its status. No behaviour changes.

Tests of sidecar, backend, hop (less the known red), platform.

--- a/cmd/teaselseam/inspect.go
+++ b/cmd/teaselseam/inspect.go
@@ -44,8 +44,12 @@
 		fmt.Fprintf(p.out, "changed settings that need a restart: %s\n", strings.Join(st.PendingSettings, ", "))
 	}
 	b := st.Backend
-	fmt.Fprintf(p.out, "backend server %s (%s): %s, last announcement %.1f s ago, %d of %d running, %d waiting, expected wait %.3f s\n\n",
+	fmt.Fprintf(p.out, "backend server %s (%s): %s, last announcement %.1f s ago, %d of %d running, %d waiting, expected wait %.3f s\n",
 		b.ID, b.Service, b.State, b.SinceAnnouncement, b.Running, b.Limit, b.Waiting, b.QueueWait)
+	if b.RateLimit != nil {
+		fmt.Fprintf(p.out, "it accepts %g requests a second from all nodes together\n", *b.RateLimit)
+	}
+	fmt.Fprintln(p.out)
 	var rows [][]string
 	for _, m := range st.Members {
 		rows = append(rows, []string{m.Node, m.DataCentre, m.Service, m.Backend, fmt.Sprint(m.Usable), m.Reason})
--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -39,6 +39,9 @@
 
 	goneReceivedAt time.Time // when the announcement of gone was received
 	readyAfterGone int       // ready announcements later than maxAnnouncementDelay after it
+
+	rateLimit   *float64  // requests per second, nil for none
+	rateLimitAt time.Time // when rateLimit was last named
 }
 
 // Known reports whether a backend server is known.
@@ -64,6 +67,7 @@
 	switch {
 	case !s.Known() || a.Born > s.Born:
 		s.accept(now, a)
+		s.rateLimit = nil
 		return true
 	case a.Born < s.Born || a.ID != s.ID || a.Sequence <= s.Sequence:
 		return false
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -111,6 +111,9 @@
 	// ReportedLoad is the load that the backend server itself reports with its
 	// response; nil if it reports none. It is not passed on to other nodes.
 	ReportedLoad *platform.Load
+	// Condition is what the backend server states about itself with its response; nil if
+	// the response is not from the call's backend server. It is not passed on to other nodes.
+	Condition *platform.Condition
 }
 
 // Close releases the connection of a response whose body was not read to the end.
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -61,9 +61,12 @@
 		}
 		refused := Refused(reason, 0)
 		refused.ReachedBackend, refused.RetryElsewhere, refused.ReportedLoad = true, true, rh.Load
+		if resp.Status != http.StatusMisdirectedRequest { // which another backend server sends
+			refused.Condition = &rh.Condition
+		}
 		return refused, nil
 	}
-	resp.ReachedBackend, resp.ReportedLoad = true, rh.Load
+	resp.ReachedBackend, resp.ReportedLoad, resp.Condition = true, rh.Load, &rh.Condition
 	return resp, nil
 }
 
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -130,7 +130,7 @@
 
 // admit waits for a slot at the backend server and runs the call, or refuses it.
 func (g *guard) admit(ctx context.Context, c *hop.Call) *hop.Response {
-	if _, resp := g.backendAddress(c); resp != nil {
+	if _, _, resp := g.backendAddress(c); resp != nil {
 		return resp
 	}
 	finish, refusal := g.n.crashes.start(c)
@@ -149,7 +149,7 @@
 	}
 	g.n.histograms.queueWaits.Observe(c.Route, "started", waited)
 	// The backend server may have gone while the call waited.
-	addr, resp := g.backendAddress(c)
+	addr, incarnation, resp := g.backendAddress(c)
 	if resp != nil {
 		finish(false)
 		release(dispatch.Failed)
@@ -157,8 +157,14 @@
 	}
 	started := time.Since(g.startedAt)
 	g.n.downstream.requestStarted(c)
+	sentAt := time.Now()
 	resp, result := g.send(ctx, addr, c)
 	g.n.downstream.requestEnded(c)
+	if resp.Condition != nil {
+		g.applyCondition(c, backend.Response{
+			Incarnation: incarnation, SentAt: sentAt, ReceivedAt: time.Now(), Run: resp.Refusal == nil, Condition: *resp.Condition,
+		})
+	}
 	release(result)
 	ran := time.Since(arrived) - waited
 	g.n.histograms.runs.Observe(c.Route, resultLabels[resultKind(resp)], ran)
@@ -173,15 +179,15 @@
 // is running now may fail because of it.
 func (g *guard) internalCallFailed() { g.lastCallFailure.Store(int64(time.Since(g.startedAt))) }
 
-// backendAddress returns the address of the call's backend server, or a refusal if that is
-// not the one beside the node or accepts no requests.
-func (g *guard) backendAddress(c *hop.Call) (string, *hop.Response) {
+// backendAddress returns the address and the incarnation of the call's backend server, or a
+// refusal if that is not the one beside the node or accepts no requests.
+func (g *guard) backendAddress(c *hop.Call) (string, backend.Incarnation, *hop.Response) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	refuse := func(r request.Reason) (string, *hop.Response) {
+	refuse := func(r request.Reason) (string, backend.Incarnation, *hop.Response) {
 		resp := hop.Refused(r, 0)
 		resp.RetryElsewhere = true
-		return "", resp
+		return "", backend.Incarnation{}, resp
 	}
 	switch {
 	case g.n.stopping.Load() || g.server.Known() && !g.server.Ready():
@@ -189,7 +195,7 @@
 	case !g.server.Known() || g.server.ID != c.Target || time.Now().Before(g.unreachableUntil):
 		return refuse(request.ReasonNoBackend)
 	}
-	return g.server.Address, nil
+	return g.server.Address, g.server.Incarnation(), nil
 }
 
 // send sends the call to the backend server. A request that is not idempotent continues
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -60,6 +60,12 @@
 	gauge("teaselseam_backend_running", func() float64 { return float64(n.guard.status().Running) })
 	gauge("teaselseam_backend_waiting", func() float64 { return float64(n.guard.status().Waiting) })
 	gauge("teaselseam_backend_limit", func() float64 { return float64(n.guard.status().Limit) })
+	gauge("teaselseam_backend_rate_limit", func() float64 {
+		if limit := n.guard.rateLimit(); limit != nil {
+			return *limit
+		}
+		return -1 // no limit
+	})
 	gauge(`teaselseam_connections_opened{to="backend"}`, func() float64 { return float64(n.guard.pool.Opened()) })
 	gauge(`teaselseam_connections_opened{to="peer"}`, func() float64 { return float64(n.peers.Opened()) })
 }
--- a/internal/sidecar/status.go
+++ b/internal/sidecar/status.go
@@ -42,6 +42,8 @@
 	Running           int     `json:"running"`
 	Waiting           int     `json:"waiting"`
 	QueueWait         float64 `json:"wait_seconds"`
+	// RateLimit is the limit in requests per second that the backend server has named.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
 }
 
 // MemberStatus is a node of the fleet with its backend server.
@@ -117,7 +119,10 @@
 
 func (g *guard) status() BackendStatus {
 	g.mu.Lock()
-	b := BackendStatus{ID: g.server.ID, Service: g.server.Service, State: g.server.State.String(), SinceAnnouncement: -1}
+	b := BackendStatus{
+		ID: g.server.ID, Service: g.server.Service, State: g.server.State.String(), SinceAnnouncement: -1,
+		RateLimit: g.server.RateLimit(),
+	}
 	if !g.server.ReceivedAt.IsZero() {
 		b.SinceAnnouncement = time.Since(g.server.ReceivedAt).Seconds()
 	}
