--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -31,6 +31,7 @@
 	routes          []route
 	keys            map[string]string // workspace by key
 	rates           map[string]float64
+	slots           int // of each backend server
 	adjustSettings  func(*platform.Settings)
 	wrapPeerHandler func(*testNode, http.Handler) http.Handler // wraps the handler for peers
 }
@@ -105,7 +106,7 @@
 	})
 	c := &cluster{
 		t: t, store: s, address: strings.TrimPrefix(server.URL, "http://"),
-		keys: map[string]string{"key-guild": "guild"}, rates: map[string]float64{},
+		keys: map[string]string{"key-guild": "guild"}, rates: map[string]float64{}, slots: 4,
 		adjustSettings:  func(*platform.Settings) {},
 		wrapPeerHandler: func(_ *testNode, h http.Handler) http.Handler { return h },
 	}
@@ -201,7 +202,7 @@
 	}
 	b := standin.NewBackend(standin.BackendConfig{
 		ID: id, Service: n.settings.Service, Address: n.settings.BackendAddress, AnnounceAddress: n.settings.AnnounceAddress,
-		Slots: 4, ServiceTime: 5 * time.Millisecond,
+		Slots: c.slots, ServiceTime: 5 * time.Millisecond,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n.backend, n.killBackend = b, cancel
