Keep to the rate limit that a backend server names

Cause: a node used what a backend server states in its responses only to find out whether a refusal was for want of slots. Server-Limit was not read, and the queue beside a backend server knew slots but no rate. Ruled out: that each node keeps the limit for itself (no node had it), and that it is kept too late or lost at a restart (breaches at the first possible moment, none tied to the restart).

Change: the queue beside the backend server, which all requests to it pass, paces their starts by a token bucket, so the limit holds at any size of the fleet and however few nodes have heard of it. Waiting, order and refusal count tokens like slots.

Test: TestRateLimitInResponses failed with 1979 requests in 4 s, allowed 65; passes now.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,6 +40,15 @@
 // completed requests. It never falls below half of its maximum. A faulty backend
 // server sheds at any load, and a lower limit would only waste its slots: without
 // this rule the limit fell to one for seconds.
+//
+// # Rate limit
+//
+// A backend server in trouble may name the number of requests per second that it accepts
+// from all nodes together (SetRate). Since all requests to it pass through this queue, no
+// other node needs to know the limit for it to hold: a token bucket paces the starts,
+// whatever the number of callers' nodes, and however few of them have heard of it. Requests
+// wait for tokens in the same order as for slots, and are refused if they would be late.
+// Three internal calls start for each external request while both wait.
 package dispatch
 
 import (
@@ -128,7 +137,9 @@
 	internalRunning int                // internal calls among the running requests
 	internalWaiting []*Ticket          // in the order in which they run
 	externalWaiting []*Ticket          // in the order in which they run
+	internalStreak  int                // internal calls started in a row while external requests waited
 	serviceTimes    map[string]float64 // moving average by route, in nanoseconds
+	rate            *rateLimit         // nil without a limit
 	rnd             *rand.Rand
 }
 
@@ -160,13 +171,13 @@
 // are now refused.
 func (q *Queue) Arrive(now time.Time, r Request) (t *Ticket, v Verdict, evicted []*Ticket) {
 	t = &Ticket{Request: r, arrived: now}
-	if q.running < int(q.limit) && q.Waiting() == 0 {
+	if q.running < int(q.limit) && q.Waiting() == 0 && q.mayStart(now) {
 		q.start(now, t)
 		return t, Run, nil
 	}
 	queue := q.waitQueue(r.Internal)
 	i := insertIndex(*queue, t)
-	if q.Waiting() >= maxWaiting || q.expectedLate(now, t, q.workAhead(r.Internal, i)) {
+	if q.Waiting() >= maxWaiting || q.expectedLate(now, t, q.ahead(r.Internal, i)) {
 		return nil, Refuse, nil
 	}
 	*queue = slices.Insert(*queue, i, t)
@@ -194,25 +205,37 @@
 	return i
 }
 
-// workAhead estimates the work, in nanoseconds of one slot, that starts before the
-// ticket at an index of its queue. Of the other queue it counts what can start
-// meanwhile with that queue's fraction of the slots.
-func (q *Queue) workAhead(internal bool, i int) float64 {
-	own := q.totalWork((*q.waitQueue(internal))[:i])
-	other := q.totalWork(*q.waitQueue(!internal))
-	ratio := internalFraction / (1 - internalFraction)
+// backlog is what starts before a request.
+type backlog struct {
+	work     float64 // nanoseconds of one slot
+	requests float64
+}
+
+func (b backlog) plus(o backlog) backlog { return backlog{b.work + o.work, b.requests + o.requests} }
+
+// share returns a part of the backlog, at most the whole.
+func (b backlog) share(work, requests float64) backlog {
+	return backlog{min(b.work, work), min(b.requests, requests)}
+}
+
+// ahead estimates what starts before the ticket at an index of its queue. Of the other
+// queue it counts what can start meanwhile with that queue's fraction of the slots.
+func (q *Queue) ahead(internal bool, i int) backlog {
+	own := q.backlogOf((*q.waitQueue(internal))[:i])
+	other := q.backlogOf(*q.waitQueue(!internal))
+	const ratio = internalFraction / (1 - internalFraction)
 	if internal {
-		return own + min(other, own/ratio)
+		return own.plus(other.share(own.work/ratio, own.requests/ratio))
 	}
-	return own + min(other, (own+q.meanExternalWork())*ratio)
+	return own.plus(other.share((own.work+q.meanExternalWork())*ratio, (own.requests+1)*ratio))
 }
 
-func (q *Queue) totalWork(tickets []*Ticket) float64 {
-	work := 0.0
+func (q *Queue) backlogOf(tickets []*Ticket) backlog {
+	b := backlog{requests: float64(len(tickets))}
 	for _, t := range tickets {
-		work += q.serviceTimeNs(t.Route)
+		b.work += q.serviceTimeNs(t.Route)
 	}
-	return work
+	return b
 }
 
 // meanExternalWork returns the mean service time of the waiting external requests.
@@ -221,13 +244,22 @@
 	if len(q.externalWaiting) == 0 {
 		return 0
 	}
-	return q.totalWork(q.externalWaiting) / float64(len(q.externalWaiting))
+	return q.backlogOf(q.externalWaiting).work / float64(len(q.externalWaiting))
 }
 
-// expectedLate reports whether a ticket with the given work ahead is expected to
+// wait estimates how long a request waits that has a backlog ahead of it.
+func (q *Queue) wait(now time.Time, ahead backlog) time.Duration {
+	wait := time.Duration(ahead.work / q.limit)
+	if q.rate != nil {
+		wait = max(wait, q.rate.wait(now, ahead.requests))
+	}
+	return wait
+}
+
+// expectedLate reports whether a ticket with the given backlog ahead is expected to
 // miss its soft deadline less the margin, or its deadline if the soft deadline has
 // passed, or to wait longer than the maximum wait.
-func (q *Queue) expectedLate(now time.Time, t *Ticket, work float64) bool {
+func (q *Queue) expectedLate(now time.Time, t *Ticket, ahead backlog) bool {
 	latest := t.Deadline
 	if t.SoftDeadline.After(now) {
 		latest = t.arrived.Add(time.Duration(softDeadlineFraction * float64(t.SoftDeadline.Sub(t.arrived))))
@@ -235,7 +267,7 @@
 			latest = t.Deadline
 		}
 	}
-	wait := time.Duration(work / q.limit)
+	wait := q.wait(now, ahead)
 	if q.maxWait > 0 && now.Add(wait).After(t.arrived.Add(q.maxWait)) {
 		return true
 	}
@@ -250,14 +282,14 @@
 		return nil
 	}
 	var evicted []*Ticket
-	work := q.workAhead(internal, from)
+	ahead := q.ahead(internal, from)
 	kept := (*queue)[:from]
 	for _, t := range (*queue)[from:] {
-		if q.expectedLate(now, t, work) {
+		if q.expectedLate(now, t, ahead) {
 			evicted = append(evicted, t)
 			continue
 		}
-		work += q.serviceTimeNs(t.Route)
+		ahead = ahead.plus(backlog{q.serviceTimeNs(t.Route), 1})
 		kept = append(kept, t)
 	}
 	clear((*queue)[len(kept):])
@@ -304,14 +336,12 @@
 	return q.StartNext(now)
 }
 
-// StartNext starts waiting requests while slots are free, and returns them.
+// StartNext starts waiting requests while slots are free and the rate limit allows it, and
+// returns them.
 func (q *Queue) StartNext(now time.Time) []*Ticket {
 	var started []*Ticket
-	for q.Waiting() > 0 && q.running < int(q.limit) {
-		queue := &q.internalWaiting
-		if len(q.internalWaiting) == 0 || len(q.externalWaiting) > 0 && float64(q.internalRunning) >= internalFraction*q.limit {
-			queue = &q.externalWaiting
-		}
+	for q.Waiting() > 0 && q.running < int(q.limit) && q.mayStart(now) {
+		queue := q.waitQueue(q.nextIsInternal())
 		t := (*queue)[0]
 		*queue = slices.Delete(*queue, 0, 1)
 		q.start(now, t)
@@ -323,8 +353,13 @@
 func (q *Queue) start(now time.Time, t *Ticket) {
 	t.running, t.started = true, now
 	q.running++
-	if t.Internal {
-		q.internalRunning++
+	if !t.Internal {
+		q.internalStreak = 0
+		return
+	}
+	q.internalRunning++
+	if len(q.externalWaiting) > 0 {
+		q.internalStreak++
 	}
 }
 
@@ -366,20 +401,21 @@
 	return Load{Limit: int(q.limit), Running: q.running, Waiting: q.Waiting()}
 }
 
-// ExpectedWait estimates the time until all waiting requests have started.
+// ExpectedWait estimates the time until all waiting requests have got a slot. It leaves the
+// rate limit out (RateWait).
 func (q *Queue) ExpectedWait() time.Duration {
-	return time.Duration((q.totalWork(q.internalWaiting) + q.totalWork(q.externalWaiting)) / q.limit)
+	return time.Duration((q.backlogOf(q.internalWaiting).work + q.backlogOf(q.externalWaiting).work) / q.limit)
 }
 
-// ExpectedInternalWait estimates the time until all waiting internal calls have
-// started.
+// ExpectedInternalWait estimates the time until all waiting internal calls have got a
+// slot.
 func (q *Queue) ExpectedInternalWait() time.Duration {
-	return time.Duration(q.workAhead(true, len(q.internalWaiting)) / q.limit)
+	return time.Duration(q.ahead(true, len(q.internalWaiting)).work / q.limit)
 }
 
 // RetryAfter returns the time after which a refused caller may retry: the expected
 // wait plus jitter, so that callers refused together do not retry together.
-func (q *Queue) RetryAfter() time.Duration {
-	after := min(max(q.ExpectedWait(), minRetryAfter), maxRetryAfter)
+func (q *Queue) RetryAfter(now time.Time) time.Duration {
+	after := min(max(q.ExpectedWait(), q.RateWait(now), minRetryAfter), maxRetryAfter)
 	return after + time.Duration(q.rnd.Float64()*float64(after))
 }
--- a/internal/model/admission.go
+++ b/internal/model/admission.go
@@ -98,7 +98,7 @@
 	if ticket != nil {
 		ticket.UserData, a.ticket = a, ticket
 	}
-	return v, d.refusal(), d.setRefusals(evicted)
+	return v, d.refusal(now), d.setRefusals(now, evicted)
 }
 
 // isInternal reports whether the attempt belongs to an internal call: only clients call the
@@ -107,15 +107,15 @@
 
 func routeName(a *attempt) string { return a.call.sim.graph.Services[a.call.service].Name }
 
-func (d *dispatchAdmission) refusal() request.Refusal {
-	return request.Refuse(request.ReasonOverload, d.queue.RetryAfter())
+func (d *dispatchAdmission) refusal(now time.Time) request.Refusal {
+	return request.Refuse(request.ReasonOverload, d.queue.RetryAfter(now))
 }
 
 // setRefusals sets the refusal of the tickets' attempts and returns these.
-func (d *dispatchAdmission) setRefusals(ts []*dispatch.Ticket) []*attempt {
+func (d *dispatchAdmission) setRefusals(now time.Time, ts []*dispatch.Ticket) []*attempt {
 	out := attemptsOf(ts)
 	for _, a := range out {
-		a.refusal = d.refusal()
+		a.refusal = d.refusal(now)
 	}
 	return out
 }
@@ -129,7 +129,9 @@
 	return attemptsOf(d.queue.StartNext(now))
 }
 
-func (d *dispatchAdmission) tick(now time.Time) []*attempt { return d.setRefusals(d.queue.Tick(now)) }
+func (d *dispatchAdmission) tick(now time.Time) []*attempt {
+	return d.setRefusals(now, d.queue.Tick(now))
+}
 
 func (d *dispatchAdmission) tickInterval() time.Duration { return queueTickInterval }
 
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -52,6 +52,7 @@
 	ReasonRouteForbidden Reason = "route_forbidden"
 	ReasonOverShare      Reason = "over_share"
 	ReasonOverload       Reason = "overload"
+	ReasonRateLimited    Reason = "rate_limited" // by the backend server itself
 	ReasonDownstream     Reason = "downstream_overload"
 	ReasonDeadline       Reason = "deadline"
 	ReasonDraining       Reason = "draining"
--- a/internal/sidecar/condition.go
+++ b/internal/sidecar/condition.go
@@ -14,6 +14,9 @@
 	previous := g.server.RateLimit()
 	change := g.server.ApplyResponse(r)
 	current := g.server.RateLimit()
+	if change.RateLimit {
+		g.queue.setRate(current)
+	}
 	g.mu.Unlock()
 	if change.RateLimit {
 		g.log.Info("rate limit of the backend server changed", "event", "backend_limit", "id", r.ID, "request", c.ID,
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -79,6 +79,9 @@
 	changed := g.server.Apply(time.Now(), a)
 	s := g.server
 	g.unreachableUntil = time.Time{}
+	if changed {
+		g.queue.setRate(s.RateLimit()) // a new incarnation has named none yet
+	}
 	g.mu.Unlock()
 	if !changed {
 		return false
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -49,7 +49,7 @@
 	notify(evicted, false)
 	var refusal *request.Refusal
 	if verdict == dispatch.Refuse {
-		refusal = q.refusal(request.ReasonOverload)
+		refusal = q.refusal(q.refusalReason())
 	}
 	q.mu.Unlock()
 	switch verdict {
@@ -67,30 +67,40 @@
 // waitForSlot waits until the ticket gets a slot, and returns nil, or until it is
 // refused or ctx ends, and returns the refusal.
 func (q *backendQueue) waitForSlot(ctx context.Context, t *dispatch.Ticket, outcome <-chan bool) *request.Refusal {
-	reason := request.ReasonOverload
 	select {
 	case granted := <-outcome:
 		if granted {
 			return nil
 		}
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return q.refusal(q.refusalReason())
 	case <-ctx.Done():
-		reason = request.ReasonDeadline
 		q.mu.Lock()
 		waited := q.queue.Cancel(t)
 		q.mu.Unlock()
 		if !waited && <-outcome {
 			q.release(t, dispatch.Failed) // it got a slot in the meantime, which the call no longer uses
 		}
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return q.refusal(request.ReasonDeadline)
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.refusal(reason)
+}
+
+// refusalReason tells why calls are refused now: the rate limit of the backend server, if
+// that is what they would wait for, or its slots. The caller holds mu.
+func (q *backendQueue) refusalReason() request.Reason {
+	if q.queue.RateWait(time.Now()) > q.queue.ExpectedWait() {
+		return request.ReasonRateLimited
+	}
+	return request.ReasonOverload
 }
 
 // refusal returns a refusal with the time after which the call may be retried. The caller
 // holds mu.
 func (q *backendQueue) refusal(reason request.Reason) *request.Refusal {
-	r := request.Refuse(reason, q.queue.RetryAfter())
+	r := request.Refuse(reason, q.queue.RetryAfter(time.Now()))
 	return &r
 }
 
@@ -108,12 +118,13 @@
 }
 
 // run periodically refuses the waiting calls that are expected to be late or to wait too
-// long, until ctx ends.
+// long, and starts those that the rate limit lets start, until ctx ends.
 func (q *backendQueue) run(ctx context.Context) error {
 	return pace.Run(ctx, queueTick, queueIdleTick, q.wake, func(now time.Time) bool {
 		q.mu.Lock()
 		defer q.mu.Unlock()
 		notify(q.queue.Tick(now), false)
+		notify(q.queue.StartNext(now), true)
 		return q.queue.Waiting() > 0
 	})
 }
@@ -132,6 +143,15 @@
 	notify(q.queue.StartNext(time.Now()), true)
 }
 
+// setRate limits the calls per second that start; nil ends the limit.
+func (q *backendQueue) setRate(perSecond *float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	q.queue.SetRate(now, perSecond)
+	notify(q.queue.StartNext(now), true)
+}
+
 func (q *backendQueue) setMaxWait(d time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
