Nodes that have heard of a backend server's rate limit tell the node beside it

A node that restarts beside a limited backend server knew of no limit until the first response, while the other nodes, which had heard of it, went on sending: 32 requests with a limit of 1 a second (allowed 11 in 4 s) in TestRateLimitAfterNodeRestart.

Cause: the limit was kept in the memory of one process, which may end at any time. Change: responses between nodes carry the limit and the wait that it causes; callers' nodes remember it by incarnation (backend.Conditions) and send it with their calls; a node that has had no response yet takes it from there, the lowest if they differ. Nothing is sent while no limit is known. Weighed: a row in the store, which costs a write for each change and is away when it is needed. The wait also lets the balancer prefer backend servers with room.

Test: TestRateLimitAfterNodeRestart failed before, passes now; backend TestRateLimitFromOtherNodes, TestConditions.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -42,6 +42,7 @@
 
 	rateLimit   *float64  // requests per second, nil for none
 	rateLimitAt time.Time // when rateLimit was last named
+	responded   bool      // a response has told whether there is a limit
 }
 
 // Known reports whether a backend server is known.
@@ -67,7 +68,7 @@
 	switch {
 	case !s.Known() || a.Born > s.Born:
 		s.accept(now, a)
-		s.rateLimit = nil
+		s.rateLimit, s.responded = nil, false
 		return true
 	case a.Born < s.Born || a.ID != s.ID || a.Sequence <= s.Sequence:
 		return false
--- a/internal/backend/condition.go
+++ b/internal/backend/condition.go
@@ -34,6 +34,21 @@
 // nil if there is none.
 func (s *Server) RateLimit() *float64 { return s.rateLimit }
 
+// RateLimitKnown reports whether RateLimit is known: from a response, or from another node.
+func (s *Server) RateLimitKnown() bool { return s.responded || s.rateLimit != nil }
+
+// AdoptRateLimit sets the limit that another node has heard of, as long as no response has
+// told: after a restart of this node, other nodes may know a limit that it does not. It
+// reports whether the limit has changed. Of several limits the lowest holds, since it is
+// not known which one was named last.
+func (s *Server) AdoptRateLimit(now time.Time, i Incarnation, rate float64) bool {
+	if i != s.Incarnation() || s.responded || s.rateLimit != nil && *s.rateLimit <= rate {
+		return false
+	}
+	s.rateLimit, s.rateLimitAt = &rate, now
+	return true
+}
+
 // ApplyResponse updates the state from what the backend server states in a response. A
 // limit ends with a response to a request that was sent after the limit was last named:
 // an earlier response may only have been on its way for longer. A refusal does not end it,
@@ -43,6 +58,7 @@
 		return Change{}
 	}
 	var c Change
+	s.responded = s.responded || r.Run && r.RateLimitErr == nil || r.RateLimit != nil
 	switch {
 	case r.RateLimit != nil:
 		c.RateLimit = s.rateLimit == nil || *s.rateLimit != *r.RateLimit
--- a/internal/backend/condition_test.go
+++ b/internal/backend/condition_test.go
@@ -50,3 +50,46 @@
 		t.Error("a new incarnation has the limit of the previous one")
 	}
 }
+
+// TestRateLimitFromOtherNodes guards against a node that restarts and does not take the limit
+// that others know, and against one that takes it although it knows better.
+func TestRateLimitFromOtherNodes(t *testing.T) {
+	now := time.Unix(100, 0)
+	var s Server
+	s.Restore(platform.Announcement{ID: "i-1", State: platform.Ready, Slots: 4, Born: 7})
+	own := s.Incarnation()
+	if s.AdoptRateLimit(now, Incarnation{"i-1", 6}, 3) || s.RateLimitKnown() {
+		t.Error("took the limit of an earlier incarnation")
+	}
+	if !s.AdoptRateLimit(now, own, 8) || !s.AdoptRateLimit(now, own, 5) || s.AdoptRateLimit(now, own, 9) || *s.RateLimit() != 5 {
+		t.Errorf("limit is %v, want the lowest that others know", *s.RateLimit())
+	}
+	s.ApplyResponse(Response{Incarnation: own, SentAt: now.Add(time.Second), ReceivedAt: now.Add(2 * time.Second), Run: true})
+	if s.AdoptRateLimit(now, own, 5) || s.RateLimit() != nil {
+		t.Error("took a limit from another node after a response without one")
+	}
+}
+
+// TestConditions guards against the limit of one incarnation that is taken for that of
+// another, and against entries that are kept for good.
+func TestConditions(t *testing.T) {
+	now, rate := time.Unix(100, 0), 5.0
+	var cs Conditions
+	first, second := Incarnation{"i-1", 7}, Incarnation{"i-1", 9}
+	cs.SetRateLimit(now, first, &rate)
+	if got, named := cs.RateLimit(first); got == nil || *got != rate || named != first {
+		t.Errorf("limit is %v of %v", got, named)
+	}
+	if got, _ := cs.RateLimit(second); got != nil {
+		t.Errorf("a later incarnation has the limit %v", *got)
+	}
+	cs.SetRateLimit(now, second, nil)
+	cs.SetRateLimit(now, first, &rate)
+	if got, _ := cs.RateLimit(first); got != nil {
+		t.Errorf("a late response of an earlier incarnation set the limit %v", *got)
+	}
+	cs.SetRateLimit(now.Add(2*conditionTTL), Incarnation{"i-2", 1}, &rate)
+	if len(cs.byID) != 1 {
+		t.Errorf("%d entries after the first has expired, want 1", len(cs.byID))
+	}
+}
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -64,6 +64,26 @@
 	TargetLatency time.Duration
 	// AskConfig asks the receiving node to return its ConfigFreshness.
 	AskConfig bool
+	// TargetLimit is the rate limit of the target that the sending node has heard of; nil if
+	// it has heard of none.
+	TargetLimit *TargetLimit
+}
+
+// TargetLimit is a rate limit that a backend server has named.
+type TargetLimit struct {
+	Born int64   // start time of the incarnation that has named it, in Unix milliseconds
+	Rate float64 // requests per second
+}
+
+// BackendState is what the node beside a backend server knows from the responses of the
+// backend server. The ID is that of Call.Target.
+type BackendState struct {
+	Born int64 // start time of the incarnation in Unix milliseconds
+	// RateLimit is the limit in requests per second; nil for none. It is valid if
+	// RateLimitKnown is set, which a node that has just started does not do.
+	RateLimit      *float64
+	RateLimitKnown bool
+	RateWait       time.Duration // expected wait of a new request for the rate limit
 }
 
 // ConfigFreshness is the version of the operator's configuration that a node uses, and
@@ -111,6 +131,8 @@
 	// ReportedLoad is the load that the backend server itself reports with its
 	// response; nil if it reports none. It is not passed on to other nodes.
 	ReportedLoad *platform.Load
+	// Backend is the state of the call's backend server; nil if there is nothing to tell.
+	Backend *BackendState
 	// Condition is what the backend server states about itself with its response; nil if
 	// the response is not from the call's backend server. It is not passed on to other nodes.
 	Condition *platform.Condition
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -106,6 +106,7 @@
 		h[hintsHeader] = []string{pressure.EncodeHints(resp.Hints)}
 	}
 	SetFreshness(h, resp.Config)
+	setBackendState(h, resp.Backend)
 	if resp.DownstreamFailed {
 		h[downstreamHeader] = []string{"1"}
 	}
@@ -150,6 +151,11 @@
 		}
 		resp.Config = c
 	}
+	state, err := parseBackendState(h.Get(backendHeader))
+	if err != nil {
+		return err
+	}
+	resp.Backend = state
 	resp.DownstreamFailed = h.Get(downstreamHeader) != ""
 	v := h.Get(RefusalHeader)
 	RemoveNodeHeaders(h)
--- a/internal/hop/serve.go
+++ b/internal/hop/serve.go
@@ -61,7 +61,11 @@
 	if err := c.decode(r.Header.Get(CallHeader), now); err != nil {
 		return nil, err
 	}
-	c.AskConfig = len(c.Header[askConfigHeader]) > 0
+	limit, err := parseTargetLimit(r.Header.Get(limitHeader))
+	if err != nil {
+		return nil, err
+	}
+	c.AskConfig, c.TargetLimit = len(c.Header[askConfigHeader]) > 0, limit
 	RemoveNodeHeaders(c.Header)
 	body, err := ReadBody(r, 0)
 	if err != nil {
--- /dev/null
+++ b/internal/hop/state.go
@@ -0,0 +1,96 @@
+package hop
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/teaselseam/teaselseam/platform"
+)
+
+const (
+	// limitHeader holds Call.TargetLimit: the start time and the rate, separated by a space.
+	limitHeader = headerPrefix + "Target-Limit"
+	// backendHeader holds Response.Backend: the start time, the rate limit or one of the
+	// words below, and the wait in ms, separated by spaces.
+	backendHeader = headerPrefix + "Backend"
+
+	// maxRateWait is the longest wait that is sent.
+	maxRateWait = time.Hour
+
+	noRateLimit      = "none"
+	unknownRateLimit = "unknown"
+)
+
+// setTargetLimit sets limitHeader, unless the limit is nil.
+func setTargetLimit(h http.Header, l *TargetLimit) {
+	if l != nil {
+		h[limitHeader] = []string{strconv.FormatInt(l.Born, 10) + " " + formatRate(l.Rate)}
+	}
+}
+
+func formatRate(rate float64) string { return strconv.FormatFloat(rate, 'g', -1, 64) }
+
+// parseTargetLimit parses the value of limitHeader, which is empty if there is none.
+func parseTargetLimit(v string) (*TargetLimit, error) {
+	if v == "" {
+		return nil, nil
+	}
+	born, rate, _ := strings.Cut(v, " ")
+	var l TargetLimit
+	var err error
+	if l.Born, err = strconv.ParseInt(born, 10, 64); err != nil {
+		return nil, fmt.Errorf("target limit header %q: %w", v, err)
+	}
+	if l.Rate, err = platform.ParseRateLimit(rate); err != nil {
+		return nil, fmt.Errorf("target limit header %q: %w", v, err)
+	}
+	return &l, nil
+}
+
+// setBackendState sets backendHeader, unless the state is nil.
+func setBackendState(h http.Header, s *BackendState) {
+	if s == nil {
+		return
+	}
+	limit := unknownRateLimit
+	switch {
+	case s.RateLimit != nil:
+		limit = formatRate(*s.RateLimit)
+	case s.RateLimitKnown:
+		limit = noRateLimit
+	}
+	h[backendHeader] = []string{fmt.Sprintf("%d %s %d", s.Born, limit, min(s.RateWait, maxRateWait).Milliseconds())}
+}
+
+// parseBackendState parses the value of backendHeader, which is empty if there is none.
+func parseBackendState(v string) (*BackendState, error) {
+	if v == "" {
+		return nil, nil
+	}
+	parts := strings.Split(v, " ")
+	if len(parts) != 3 {
+		return nil, fmt.Errorf("backend header %q does not have 3 fields", v)
+	}
+	var s BackendState
+	var err error
+	if s.Born, err = strconv.ParseInt(parts[0], 10, 64); err != nil {
+		return nil, fmt.Errorf("backend header %q: %w", v, err)
+	}
+	s.RateLimitKnown = parts[1] != unknownRateLimit
+	if s.RateLimitKnown && parts[1] != noRateLimit {
+		rate, err := platform.ParseRateLimit(parts[1])
+		if err != nil {
+			return nil, fmt.Errorf("backend header %q: %w", v, err)
+		}
+		s.RateLimit = &rate
+	}
+	ms, err := strconv.ParseInt(parts[2], 10, 64)
+	if err != nil || ms < 0 || ms > int64(maxRateWait/time.Millisecond) {
+		return nil, fmt.Errorf("backend header %q has no valid wait", v)
+	}
+	s.RateWait = time.Duration(ms) * time.Millisecond
+	return &s, nil
+}
--- /dev/null
+++ b/internal/hop/state_test.go
@@ -0,0 +1,37 @@
+package hop
+
+import (
+	"net/http"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// TestBackendStateHeader guards against state that changes on its way between nodes, and
+// against values that no node sends.
+func TestBackendStateHeader(t *testing.T) {
+	rate := 12.4
+	for _, want := range []*BackendState{
+		nil,
+		{Born: 7},
+		{Born: 7, RateLimitKnown: true},
+		{Born: 7, RateLimitKnown: true, RateLimit: &rate, RateWait: 80 * time.Millisecond},
+	} {
+		h := http.Header{}
+		setBackendState(h, want)
+		got, err := parseBackendState(h.Get(backendHeader))
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%+v was read as %+v, %v", want, got, err)
+		}
+	}
+	for _, v := range []string{"7", "x none 0", "7 fast 0", "7 -1 0", "7 NaN 0", "7 1 -5", "7 1 99999999999", "7 1 0 1"} {
+		if s, err := parseBackendState(v); err == nil {
+			t.Errorf("%q was read as %+v", v, s)
+		}
+	}
+	for _, v := range []string{"7", "7 ", "x 1", "7 inf"} {
+		if l, err := parseTargetLimit(v); err == nil {
+			t.Errorf("%q was read as %+v", v, l)
+		}
+	}
+}
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -9,7 +9,6 @@
 	"github.com/teaselseam/teaselseam/internal/catalog"
 	"github.com/teaselseam/teaselseam/internal/clock"
 	"github.com/teaselseam/teaselseam/internal/hop"
-	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/retry"
 	"github.com/teaselseam/teaselseam/internal/routing"
@@ -181,7 +180,8 @@
 	n.metrics.CountAttempt(isRetry)
 	sent := time.Now()
 	sending := *c
-	sending.Target = ep.target
+	sending.Target = ep.backend.ID
+	sending.TargetLimit = n.balancer.targetLimit(ep.backend)
 	sending.TargetLatency = remainingTarget(c, sent)
 	sinceBoot := clock.SinceBoot()
 	sending.AskConfig = n.state.configAgeAt(sinceBoot) > askPeersAge
@@ -193,13 +193,16 @@
 	if err != nil {
 		return n.peerFailed(ep, c, err, took)
 	}
+	if resp.Backend != nil {
+		n.balancer.applyBackendState(ep.backend.ID, resp.Backend)
+	}
 	if fromBackend(resp) {
 		n.responseTimes.record(c.Route, took)
 	}
 	kind := resultKind(resp)
 	n.histograms.attempts.Observe(c.Service, resultLabels[kind], took)
 	n.balancer.recordResult(c.Service, ep.id, routing.Result{
-		Kind: kind, Latency: took, Draining: isDraining(resp), Load: loadReport(resp.Load),
+		Kind: kind, Latency: took, Draining: isDraining(resp), Load: loadReport(resp),
 	})
 	return resp
 }
@@ -259,9 +262,14 @@
 	return resp.Refusal != nil && resp.Refusal.Reason == request.ReasonDraining
 }
 
-func loadReport(l *pressure.Load) *routing.Report {
+func loadReport(resp *hop.Response) *routing.Report {
+	l := resp.Load
 	if l == nil {
 		return nil
 	}
-	return &routing.Report{Limit: l.Limit, QueueWait: l.Wait, ServiceTime: l.ServiceTime}
+	wait := l.Wait
+	if resp.Backend != nil {
+		wait = max(wait, resp.Backend.RateWait)
+	}
+	return &routing.Report{Limit: l.Limit, QueueWait: wait, ServiceTime: l.ServiceTime}
 }
--- a/internal/sidecar/balancer.go
+++ b/internal/sidecar/balancer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/backend"
 	"github.com/teaselseam/teaselseam/internal/fleet"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/routing"
@@ -26,9 +27,9 @@
 
 // endpoint is a backend server to which a call can be sent.
 type endpoint struct {
-	id      string // backend server and incarnation of its node: ID@INCARNATION
-	target  string // ID of the backend server
-	address string // of the node beside the backend server
+	id      string              // backend server and incarnation of its node: ID@INCARNATION
+	backend backend.Incarnation // as in the row of its node
+	address string              // of the node beside the backend server
 }
 
 // balancer selects the endpoint for each call, with one picker per service. It is safe
@@ -41,14 +42,15 @@
 	mu         sync.Mutex
 	rng        *rand.Rand
 	pickers    map[string]*routing.Picker
-	backendIDs map[string]string    // ID of the backend server by endpoint ID
-	firstSeen  map[string]time.Time // by ID of the backend server
+	backends   map[string]backend.Incarnation // by endpoint ID
+	firstSeen  map[string]time.Time           // by ID of the backend server
+	conditions backend.Conditions             // as the nodes beside the backend servers tell
 }
 
 func newBalancer(s *platform.Settings, runLocal func(context.Context, *hop.Call) *hop.Response, peers *hop.Pool) *balancer {
 	return &balancer{
 		settings: s, runLocal: runLocal, peers: peers, rng: newRand(),
-		pickers: map[string]*routing.Picker{}, backendIDs: map[string]string{}, firstSeen: map[string]time.Time{},
+		pickers: map[string]*routing.Picker{}, backends: map[string]backend.Incarnation{}, firstSeen: map[string]time.Time{},
 	}
 }
 
@@ -65,7 +67,7 @@
 			localMembers++
 		}
 	}
-	clear(b.backendIDs)
+	clear(b.backends)
 	for _, m := range members {
 		if !m.Usable() {
 			continue
@@ -74,7 +76,7 @@
 		// The endpoint of a stopping node never comes back: the next incarnation of the
 		// node is a new endpoint.
 		endpointID := id + "@" + m.Incarnation
-		b.backendIDs[endpointID] = id
+		b.backends[endpointID] = backend.Incarnation{ID: id, Born: m.Backend.Born}
 		if _, ok := b.firstSeen[id]; !ok {
 			b.firstSeen[id] = now
 			if first {
@@ -111,7 +113,7 @@
 		return endpoint{}, false
 	}
 	address, _ := picker.Address(id) // known, because the picker has just returned it
-	return endpoint{id: id, target: b.backendIDs[id], address: address}, true
+	return endpoint{id: id, backend: b.backends[id], address: address}, true
 }
 
 func (b *balancer) recordResult(service, id string, r routing.Result) {
--- a/internal/sidecar/condition.go
+++ b/internal/sidecar/condition.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"github.com/teaselseam/teaselseam/internal/backend"
 	"github.com/teaselseam/teaselseam/internal/hop"
 )
@@ -38,3 +40,55 @@
 	defer g.mu.Unlock()
 	return g.server.RateLimit()
 }
+
+// adoptRateLimit adopts the limit that the caller's node has heard of, if this node does not
+// know whether there is one.
+func (g *guard) adoptRateLimit(c *hop.Call) {
+	g.mu.Lock()
+	changed := g.server.AdoptRateLimit(time.Now(), backend.Incarnation{ID: c.Target, Born: c.TargetLimit.Born}, c.TargetLimit.Rate)
+	if changed {
+		g.queue.setRate(&c.TargetLimit.Rate)
+	}
+	g.mu.Unlock()
+	if changed {
+		g.log.Info("rate limit of the backend server learned from another node", "event", "backend_limit", "id", c.Target, "request", c.ID,
+			"limit", c.TargetLimit.Rate, "previous", "unknown")
+	}
+}
+
+// backendState returns what this node knows from responses of the call's backend server; nil
+// if it has no other one beside it or there is nothing to tell.
+func (g *guard) backendState(c *hop.Call) *hop.BackendState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limit := g.server.RateLimit()
+	if g.server.ID != c.Target || limit == nil && c.TargetLimit == nil {
+		return nil
+	}
+	s := &hop.BackendState{Born: g.server.Born, RateLimit: limit, RateLimitKnown: g.server.RateLimitKnown()}
+	if limit != nil {
+		s.RateWait = g.queue.rateWait()
+	}
+	return s
+}
+
+// targetLimit returns the rate limit of a backend server to send with a call; nil if the
+// node has heard of none.
+func (b *balancer) targetLimit(i backend.Incarnation) *hop.TargetLimit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rate, named := b.conditions.RateLimit(i)
+	if rate == nil {
+		return nil
+	}
+	return &hop.TargetLimit{Born: named.Born, Rate: *rate}
+}
+
+// applyBackendState records what the node beside a backend server knows of it.
+func (b *balancer) applyBackendState(id string, s *hop.BackendState) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.RateLimitKnown {
+		b.conditions.SetRateLimit(time.Now(), backend.Incarnation{ID: id, Born: s.Born}, s.RateLimit)
+	}
+}
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -122,6 +122,7 @@
 	resp := g.admit(ctx, c)
 	resp.Load = g.queue.load(c.Route, c.Workspace == "")
 	resp.Hints = g.n.downstream.hints(c)
+	resp.Backend = g.backendState(c)
 	if resp.Refusal != nil {
 		g.n.metrics.CountRefusal("guard", resp.Refusal)
 		g.n.requestLog.Info("call refused at the guard", "event", "refused", "id", c.ID, "route", c.Route,
@@ -133,6 +134,9 @@
 
 // admit waits for a slot at the backend server and runs the call, or refuses it.
 func (g *guard) admit(ctx context.Context, c *hop.Call) *hop.Response {
+	if c.TargetLimit != nil {
+		g.adoptRateLimit(c)
+	}
 	if _, _, resp := g.backendAddress(c); resp != nil {
 		return resp
 	}
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -152,6 +152,13 @@
 	notify(q.queue.StartNext(now), true)
 }
 
+// rateWait returns the expected wait of a new call for the rate limit.
+func (q *backendQueue) rateWait() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.RateWait(time.Now())
+}
+
 func (q *backendQueue) setMaxWait(d time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
