Take a backend server out that states in a response that it leaves

Cause: the same as with rate limits: responses were not read for what a backend server states about itself. Its state came from announcements alone. Change: the node beside it takes such an incarnation for draining, for good: it refuses calls, writes its row, and no announcement makes that incarnation ready again.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -1,5 +1,6 @@
-// Package backend tracks the state of a node's backend server, as known from the
-// announcements of that backend server alone.
+// Package backend tracks the state of a node's backend server, as known from its
+// announcements and from what it states about itself in its responses (condition.go), and
+// what a node has heard of the backend servers beside other nodes (conditions.go).
 //
 // Only the node beside a backend server can reach it, so this state alone decides whether
 // a request may start there. Announcements may be late, repeated, or from an earlier
@@ -9,7 +10,8 @@
 //
 //   - An announcement of an earlier incarnation than the known one is ignored. One of the
 //     same incarnation is accepted only if its sequence number is higher.
-//   - An incarnation that was draining never becomes ready again.
+//   - An incarnation that was draining, or has stated in a response that it leaves, never
+//     becomes ready again.
 //   - After an announcement of the state gone, the same incarnation is accepted as ready
 //     again only if it still announces ready after the longest time that an announcement
 //     can be delayed. The announcement of gone may itself be a late one from an earlier
@@ -43,6 +45,8 @@
 	rateLimit   *float64  // requests per second, nil for none
 	rateLimitAt time.Time // when rateLimit was last named
 	responded   bool      // a response has told whether there is a limit
+
+	statedLeaving bool // a response has stated that this incarnation leaves
 }
 
 // Known reports whether a backend server is known.
@@ -68,7 +72,7 @@
 	switch {
 	case !s.Known() || a.Born > s.Born:
 		s.accept(now, a)
-		s.rateLimit, s.responded = nil, false
+		s.rateLimit, s.responded, s.statedLeaving = nil, false, false
 		return true
 	case a.Born < s.Born || a.ID != s.ID || a.Sequence <= s.Sequence:
 		return false
@@ -101,7 +105,7 @@
 // revive makes the backend server ready again if the announcement of gone turns out to
 // have been a late one from an earlier incarnation.
 func (s *Server) revive(now time.Time, a platform.Announcement) bool {
-	if a.State != platform.Ready || s.goneReceivedAt.IsZero() || now.Sub(s.goneReceivedAt) < maxAnnouncementDelay {
+	if s.statedLeaving || a.State != platform.Ready || s.goneReceivedAt.IsZero() || now.Sub(s.goneReceivedAt) < maxAnnouncementDelay {
 		return false
 	}
 	s.readyAfterGone++
--- a/internal/backend/condition.go
+++ b/internal/backend/condition.go
@@ -25,6 +25,7 @@
 // Change tells what a response has changed.
 type Change struct {
 	RateLimit bool // the rate limit has changed
+	Leaving   bool // the backend server is known to leave from now on
 }
 
 // Incarnation returns the known incarnation of the backend server.
@@ -53,11 +54,20 @@
 // limit ends with a response to a request that was sent after the limit was last named:
 // an earlier response may only have been on its way for longer. A refusal does not end it,
 // because it need not come from the part of the backend server that names limits.
+//
+// A backend server that states that it leaves counts as draining, since its announcement may
+// be late, lost, or made only when it has gone.
 func (s *Server) ApplyResponse(r Response) Change {
 	if r.Incarnation != s.Incarnation() {
 		return Change{}
 	}
 	var c Change
+	if r.Leaving {
+		s.statedLeaving = true
+		if c.Leaving = s.State == platform.Ready; c.Leaving {
+			s.State = platform.Draining
+		}
+	}
 	s.responded = s.responded || r.Run && r.RateLimitErr == nil || r.RateLimit != nil
 	switch {
 	case r.RateLimit != nil:
--- a/internal/backend/condition_test.go
+++ b/internal/backend/condition_test.go
@@ -93,3 +93,35 @@
 		t.Errorf("%d entries after the first has expired, want 1", len(cs.byID))
 	}
 }
+
+// TestLeavingStatedInResponse guards against a backend server that has stated that it leaves
+// and becomes ready again by its own late announcements, and against one that is taken for
+// its predecessor.
+func TestLeavingStatedInResponse(t *testing.T) {
+	now := time.Unix(100, 0)
+	ready := func(born int64, sequence uint64) platform.Announcement {
+		return platform.Announcement{ID: "i-1", State: platform.Ready, Slots: 4, Sequence: sequence, Born: born}
+	}
+	var s Server
+	s.Apply(now, ready(7, 1))
+	leaving := Response{Incarnation: s.Incarnation(), Run: true, Condition: platform.Condition{Leaving: true}}
+	if c := s.ApplyResponse(leaving); !c.Leaving || s.Ready() {
+		t.Fatalf("change %+v, ready %t after a response that states that it leaves", c, s.Ready())
+	}
+	if c := s.ApplyResponse(leaving); c.Leaving {
+		t.Error("the second response counts as a change")
+	}
+	s.Apply(now, ready(7, 2))
+	s.Apply(now, platform.Announcement{ID: "i-1", State: platform.Gone})
+	for i := range uint64(10) {
+		now = now.Add(2 * maxAnnouncementDelay)
+		if s.Apply(now, ready(7, 3+i)); s.Ready() {
+			t.Fatal("ready again after it has stated that it leaves")
+		}
+	}
+	s.Apply(now, ready(9, 1))
+	s.ApplyResponse(leaving) // a late one of the earlier incarnation
+	if !s.Ready() {
+		t.Error("the next incarnation is not ready")
+	}
+}
--- a/internal/sidecar/condition.go
+++ b/internal/sidecar/condition.go
@@ -19,7 +19,14 @@
 	if change.RateLimit {
 		g.queue.setRate(current)
 	}
+	if change.Leaving {
+		g.queue.drain()
+	}
 	g.mu.Unlock()
+	if change.Leaving {
+		g.log.Info("backend server states that it leaves", "event", "backend", "id", r.ID, "request", c.ID, "born", r.Born)
+		g.n.member.scheduleUpdate()
+	}
 	if change.RateLimit {
 		g.log.Info("rate limit of the backend server changed", "event", "backend_limit", "id", r.ID, "request", c.ID,
 			"limit", limitText(current), "previous", limitText(previous))
