Nodes remember which backend servers leave, whatever the node beside them knows

Cause: that a backend server leaves was kept by the picker under an endpoint whose name holds the incarnation of the node, so a restart of that node ended it. Change: responses between nodes say that the backend server leaves, and each node remembers it by the incarnation of the backend server (backend.Conditions), ahead of its row.

--- a/internal/backend/condition.go
+++ b/internal/backend/condition.go
@@ -38,6 +38,11 @@
 // RateLimitKnown reports whether RateLimit is known: from a response, or from another node.
 func (s *Server) RateLimitKnown() bool { return s.responded || s.rateLimit != nil }
 
+// Leaving reports whether this incarnation is leaving and will not be ready again.
+func (s *Server) Leaving() bool {
+	return s.Known() && (s.State == platform.Draining || s.statedLeaving)
+}
+
 // AdoptRateLimit sets the limit that another node has heard of, as long as no response has
 // told: after a restart of this node, other nodes may know a limit that it does not. It
 // reports whether the limit has changed. Of several limits the lowest holds, since it is
--- a/internal/backend/condition_test.go
+++ b/internal/backend/condition_test.go
@@ -88,6 +88,14 @@
 	if got, _ := cs.RateLimit(first); got != nil {
 		t.Errorf("a late response of an earlier incarnation set the limit %v", *got)
 	}
+	cs.SetLeaving(now, first) // late, too
+	if cs.Leaving(first) || cs.Leaving(second) {
+		t.Error("a later incarnation counts as leaving because an earlier one left")
+	}
+	cs.SetLeaving(now, second)
+	if !cs.Leaving(first) || !cs.Leaving(second) || cs.Leaving(Incarnation{"i-1", 11}) {
+		t.Error("want all incarnations up to the one that leaves, and no later one")
+	}
 	cs.SetRateLimit(now.Add(2*conditionTTL), Incarnation{"i-2", 1}, &rate)
 	if len(cs.byID) != 1 {
 		t.Errorf("%d entries after the first has expired, want 1", len(cs.byID))
--- a/internal/backend/conditions.go
+++ b/internal/backend/conditions.go
@@ -20,6 +20,7 @@
 	born      int64
 	heardAt   time.Time
 	rateLimit *float64 // requests per second, nil for none
+	leaving   bool
 }
 
 // RateLimit returns the rate limit that an incarnation or a later one has named, and which one
@@ -39,6 +40,19 @@
 	}
 }
 
+// SetLeaving records that an incarnation leaves, which never changes.
+func (cs *Conditions) SetLeaving(now time.Time, i Incarnation) {
+	if c := cs.entry(now, i); c != nil {
+		c.leaving = true
+	}
+}
+
+// Leaving reports whether an incarnation or a later one leaves.
+func (cs *Conditions) Leaving(i Incarnation) bool {
+	c := cs.byID[i.ID]
+	return c != nil && c.born >= i.Born && c.leaving
+}
+
 // entry returns the entry of an incarnation, or nil if a later one is known.
 func (cs *Conditions) entry(now time.Time, i Incarnation) *condition {
 	cs.sweep(now)
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -75,8 +75,8 @@
 	Rate float64 // requests per second
 }
 
-// BackendState is what the node beside a backend server knows from the responses of the
-// backend server. The ID is that of Call.Target.
+// BackendState is what the node beside a backend server knows of it. The ID is that of
+// Call.Target.
 type BackendState struct {
 	Born int64 // start time of the incarnation in Unix milliseconds
 	// RateLimit is the limit in requests per second; nil for none. It is valid if
@@ -84,6 +84,7 @@
 	RateLimit      *float64
 	RateLimitKnown bool
 	RateWait       time.Duration // expected wait of a new request for the rate limit
+	Leaving        bool          // it has stated that it leaves, or announced it
 }
 
 // ConfigFreshness is the version of the operator's configuration that a node uses, and
--- a/internal/hop/state.go
+++ b/internal/hop/state.go
@@ -14,7 +14,7 @@
 	// limitHeader holds Call.TargetLimit: the start time and the rate, separated by a space.
 	limitHeader = headerPrefix + "Target-Limit"
 	// backendHeader holds Response.Backend: the start time, the rate limit or one of the
-	// words below, and the wait in ms, separated by spaces.
+	// words below, the wait in ms, and whether it leaves (0 or 1), separated by spaces.
 	backendHeader = headerPrefix + "Backend"
 
 	// maxRateWait is the longest wait that is sent.
@@ -62,7 +62,11 @@
 	case s.RateLimitKnown:
 		limit = noRateLimit
 	}
-	h[backendHeader] = []string{fmt.Sprintf("%d %s %d", s.Born, limit, min(s.RateWait, maxRateWait).Milliseconds())}
+	leaving := 0
+	if s.Leaving {
+		leaving = 1
+	}
+	h[backendHeader] = []string{fmt.Sprintf("%d %s %d %d", s.Born, limit, min(s.RateWait, maxRateWait).Milliseconds(), leaving)}
 }
 
 // parseBackendState parses the value of backendHeader, which is empty if there is none.
@@ -71,8 +75,8 @@
 		return nil, nil
 	}
 	parts := strings.Split(v, " ")
-	if len(parts) != 3 {
-		return nil, fmt.Errorf("backend header %q does not have 3 fields", v)
+	if len(parts) != 4 {
+		return nil, fmt.Errorf("backend header %q does not have 4 fields", v)
 	}
 	var s BackendState
 	var err error
@@ -91,6 +95,6 @@
 	if err != nil || ms < 0 || ms > int64(maxRateWait/time.Millisecond) {
 		return nil, fmt.Errorf("backend header %q has no valid wait", v)
 	}
-	s.RateWait = time.Duration(ms) * time.Millisecond
+	s.RateWait, s.Leaving = time.Duration(ms)*time.Millisecond, parts[3] == "1"
 	return &s, nil
 }
--- a/internal/hop/state_test.go
+++ b/internal/hop/state_test.go
@@ -15,7 +15,7 @@
 		nil,
 		{Born: 7},
 		{Born: 7, RateLimitKnown: true},
-		{Born: 7, RateLimitKnown: true, RateLimit: &rate, RateWait: 80 * time.Millisecond},
+		{Born: 7, RateLimitKnown: true, RateLimit: &rate, RateWait: 80 * time.Millisecond, Leaving: true},
 	} {
 		h := http.Header{}
 		setBackendState(h, want)
@@ -24,7 +24,7 @@
 			t.Errorf("%+v was read as %+v, %v", want, got, err)
 		}
 	}
-	for _, v := range []string{"7", "x none 0", "7 fast 0", "7 -1 0", "7 NaN 0", "7 1 -5", "7 1 99999999999", "7 1 0 1"} {
+	for _, v := range []string{"7", "x none 0 0", "7 fast 0 0", "7 -1 0 0", "7 NaN 0 0", "7 1 -5 0", "7 1 99999999999 0", "7 1 0", "7 1 0 1 1"} {
 		if s, err := parseBackendState(v); err == nil {
 			t.Errorf("%q was read as %+v", v, s)
 		}
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -259,7 +259,7 @@
 }
 
 func isDraining(resp *hop.Response) bool {
-	return resp.Refusal != nil && resp.Refusal.Reason == request.ReasonDraining
+	return resp.Refusal != nil && resp.Refusal.Reason == request.ReasonDraining || resp.Backend != nil && resp.Backend.Leaving
 }
 
 func loadReport(resp *hop.Response) *routing.Report {
--- a/internal/sidecar/balancer.go
+++ b/internal/sidecar/balancer.go
@@ -76,7 +76,8 @@
 		// The endpoint of a stopping node never comes back: the next incarnation of the
 		// node is a new endpoint.
 		endpointID := id + "@" + m.Incarnation
-		b.backends[endpointID] = backend.Incarnation{ID: id, Born: m.Backend.Born}
+		incarnation := backend.Incarnation{ID: id, Born: m.Backend.Born}
+		b.backends[endpointID] = incarnation
 		if _, ok := b.firstSeen[id]; !ok {
 			b.firstSeen[id] = now
 			if first {
@@ -85,6 +86,8 @@
 		}
 		byService[m.Backend.Service] = append(byService[m.Backend.Service], routing.Endpoint{
 			ID: endpointID, DataCentre: m.DataCentre, Address: m.Address, Started: b.firstSeen[id],
+			// The row may be outdated, and the node beside the backend server may have restarted.
+			Draining: b.conditions.Leaving(incarnation),
 		})
 	}
 	cfg := routing.DefaultConfig(b.settings.Node, max(len(members), 1), max(localMembers, 1))
--- a/internal/sidecar/condition.go
+++ b/internal/sidecar/condition.go
@@ -63,16 +63,16 @@
 	}
 }
 
-// backendState returns what this node knows from responses of the call's backend server; nil
-// if it has no other one beside it or there is nothing to tell.
+// backendState returns what the caller's node is to know of the call's backend server; nil
+// if this node has no other one beside it or there is nothing to tell.
 func (g *guard) backendState(c *hop.Call) *hop.BackendState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	limit := g.server.RateLimit()
-	if g.server.ID != c.Target || limit == nil && c.TargetLimit == nil {
+	limit, leaving := g.server.RateLimit(), g.server.Leaving()
+	if g.server.ID != c.Target || limit == nil && c.TargetLimit == nil && !leaving {
 		return nil
 	}
-	s := &hop.BackendState{Born: g.server.Born, RateLimit: limit, RateLimitKnown: g.server.RateLimitKnown()}
+	s := &hop.BackendState{Born: g.server.Born, RateLimit: limit, RateLimitKnown: g.server.RateLimitKnown(), Leaving: leaving}
 	if limit != nil {
 		s.RateWait = g.queue.rateWait()
 	}
@@ -95,7 +95,11 @@
 func (b *balancer) applyBackendState(id string, s *hop.BackendState) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	i := backend.Incarnation{ID: id, Born: s.Born}
 	if s.RateLimitKnown {
-		b.conditions.SetRateLimit(time.Now(), backend.Incarnation{ID: id, Born: s.Born}, s.RateLimit)
+		b.conditions.SetRateLimit(time.Now(), i, s.RateLimit)
+	}
+	if s.Leaving {
+		b.conditions.SetLeaving(time.Now(), i)
 	}
 }
