Tell incarnations of backend servers apart in the balancer

A backend server that had left and started again under its ID, while the node beside it went on, got no more calls from nodes that had been refused as draining.

Change: the endpoint's ID and the time of the first sight have the start time of the backend server.

--- a/internal/sidecar/balancer.go
+++ b/internal/sidecar/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -27,7 +28,7 @@
 
 // endpoint is a backend server to which a call can be sent.
 type endpoint struct {
-	id      string              // backend server and incarnation of its node: ID@INCARNATION
+	id      string              // see endpointID
 	backend backend.Incarnation // as in the row of its node
 	address string              // of the node beside the backend server
 }
@@ -43,14 +44,14 @@
 	rng        *rand.Rand
 	pickers    map[string]*routing.Picker
 	backends   map[string]backend.Incarnation // by endpoint ID
-	firstSeen  map[string]time.Time           // by ID of the backend server
-	conditions backend.Conditions             // as the nodes beside the backend servers tell
+	firstSeen  map[backend.Incarnation]time.Time
+	conditions backend.Conditions // as the nodes beside the backend servers tell
 }
 
 func newBalancer(s *platform.Settings, runLocal func(context.Context, *hop.Call) *hop.Response, peers *hop.Pool) *balancer {
 	return &balancer{
 		settings: s, runLocal: runLocal, peers: peers, rng: newRand(),
-		pickers: map[string]*routing.Picker{}, backends: map[string]backend.Incarnation{}, firstSeen: map[string]time.Time{},
+		pickers: map[string]*routing.Picker{}, backends: map[string]backend.Incarnation{}, firstSeen: map[backend.Incarnation]time.Time{},
 	}
 }
 
@@ -72,20 +73,17 @@
 		if !m.Usable() {
 			continue
 		}
-		id := m.Backend.ID
-		// The endpoint of a stopping node never comes back: the next incarnation of the
-		// node is a new endpoint.
-		endpointID := id + "@" + m.Incarnation
-		incarnation := backend.Incarnation{ID: id, Born: m.Backend.Born}
-		b.backends[endpointID] = incarnation
-		if _, ok := b.firstSeen[id]; !ok {
-			b.firstSeen[id] = now
+		incarnation := backend.Incarnation{ID: m.Backend.ID, Born: m.Backend.Born}
+		id := endpointID(m)
+		b.backends[id] = incarnation
+		if _, ok := b.firstSeen[incarnation]; !ok {
+			b.firstSeen[incarnation] = now
 			if first {
-				b.firstSeen[id] = now.Add(-slowStart)
+				b.firstSeen[incarnation] = now.Add(-slowStart)
 			}
 		}
 		byService[m.Backend.Service] = append(byService[m.Backend.Service], routing.Endpoint{
-			ID: endpointID, DataCentre: m.DataCentre, Address: m.Address, Started: b.firstSeen[id],
+			ID: id, DataCentre: m.DataCentre, Address: m.Address, Started: b.firstSeen[incarnation],
 			// The row may be outdated, and the node beside the backend server may have restarted.
 			Draining: b.conditions.Leaving(incarnation),
 		})
@@ -103,6 +101,13 @@
 	}
 }
 
+// endpointID returns the ID of the endpoint of a member's backend server. It is another one
+// for each incarnation of the node, since a stopping one never comes back, and of the backend
+// server, which may start again under its ID after it has left.
+func endpointID(m *fleet.Member) string {
+	return m.Backend.ID + "/" + strconv.FormatInt(m.Backend.Born, 10) + "@" + m.Incarnation
+}
+
 // pick selects an endpoint that has not been tried.
 func (b *balancer) pick(service string, tried []string) (endpoint, bool) {
 	b.mu.Lock()
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -372,7 +372,12 @@
 		t.Error("no request reached the stalled node, so the test shows nothing")
 	}
 	stalled.Store(false)
-	other := "i-" + c.nodes[4].settings.Node + "@" + c.nodes[4].node.incarnation
+	var other string
+	for _, m := range *c.nodes[0].node.state.members.Load() {
+		if m.Node == c.nodes[4].settings.Node {
+			other = endpointID(m)
+		}
+	}
 	c.eventually("the node is used again", func() bool {
 		c.get(c.nodes[0], "/stock/view/1", "key-guild")
 		return c.nodes[0].node.balancer.hasAlternative("stock", []string{other})
