--- a/internal/sidecar/feed_test.go
+++ b/internal/sidecar/feed_test.go
@@ -153,12 +153,17 @@
 		changed := time.Now()
 		for _, n := range c.nodes {
 			if n != lost {
-				c.eventually("the change is followed", func() bool { return c.get(n, "/late/1", "key-guild").served() })
+				c.eventually("the change is in force", func() bool { return n.node.state.catalog.Load().Version == uint64(c.version) })
 			}
 		}
 		if took := time.Since(changed); took > 2*time.Second {
 			t.Errorf("silent %v: the change was in force after %v, want at most 2 s", silent, took)
 		}
+		for _, n := range c.nodes {
+			if n != lost {
+				c.eventually("the new route is served", func() bool { return c.get(n, "/late/1", "key-guild").served() })
+			}
+		}
 		leaver := c.nodes[5]
 		leaver.backend.Drain(t.Context())
 		c.eventually("changes of members are followed", func() bool {
