Soak: backend servers name rate limits and leave unannounced

New actions: a backend server names a limit in its responses for 4 to 10 s, and one leaves and only its responses tell. The checks count from the nodes that passed on a statement. Replacing a backend server is serialised per node, since two actions could start two of them at one address.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,6 +20,7 @@
 	deadline            time.Duration
 	status              int // 0 if no complete response arrived
 	responseBody        string
+	statedCondition     bool // the response states a rate limit, or that its backend server leaves
 	err                 error
 }
 
@@ -88,6 +89,7 @@
 		resp.Body.Close()
 		if err == nil {
 			sent.status, sent.responseBody = resp.StatusCode, string(data)
+			sent.statedCondition = resp.Header.Get("Server-Limit") != "" || resp.Header.Get("Server-Leaving") != ""
 		}
 	}
 	sent.err, sent.endedAt = err, time.Now()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -64,6 +64,7 @@
 		checkNoneAfterLeaving(&f, id, execs)
 	}
 	r.checkRates(&f, executions)
+	r.checkConditions(&f, executions, all)
 	r.checkRecovery(&f, all)
 	return f.list
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,9 +42,7 @@
 	}},
 	{"crash a backend server", false, func(r *run, n *node, _ *rand.Rand) {
 		n.recordFault()
-		n.crashBackend()
-		time.Sleep(300 * time.Millisecond)
-		n.newBackend(r.interceptor(n))
+		n.replaceBackend(n.currentBackend(), 300*time.Millisecond, r.interceptor(n))
 	}},
 	{"backend server drops responses", false, func(r *run, n *node, _ *rand.Rand) { r.injectResponseFault(n, responseDropped) }},
 	{"backend server truncates responses", false, func(r *run, n *node, _ *rand.Rand) { r.injectResponseFault(n, responseTruncated) }},
@@ -70,6 +68,12 @@
 		n.recordFault()
 	}},
 	{"link fault to the backend server", false, func(r *run, n *node, rnd *rand.Rand) { r.injectLinkFault(n, n.toBackend, rnd) }},
+	{"backend server names a rate limit", true, func(r *run, n *node, rnd *rand.Rand) { r.nameLimit(n, rnd) }},
+	{"backend server leaves unannounced", false, func(r *run, n *node, _ *rand.Rand) {
+		n.recordFault()
+		r.leaveUnannounced(n)
+		n.recordFault()
+	}},
 }
 
 // responseFault is what a backend server does to a quarter of its responses.
@@ -137,7 +141,7 @@
 // the drain time and then stops, and another is started.
 func (r *run) replaceBackend(n *node, drain bool) {
 	n.mu.Lock()
-	b, crash := n.backend, n.crashBackend
+	b := n.backend
 	_, leaving := n.leaveAcknowledged[b]
 	n.mu.Unlock()
 	if leaving {
@@ -156,8 +160,7 @@
 		n.mu.Unlock()
 	}
 	time.Sleep(drainBound + time.Second)
-	crash()
-	n.newBackend(r.interceptor(n))
+	n.replaceBackend(b, 0, r.interceptor(n))
 }
 
 // interceptor returns the function that intercepts the requests of a backend server
@@ -166,6 +169,7 @@
 func (r *run) interceptor(n *node) func(http.ResponseWriter, *http.Request) bool {
 	client := &http.Client{Timeout: time.Second}
 	return func(w http.ResponseWriter, req *http.Request) bool {
+		r.setCondition(n, w.Header())
 		if strings.Contains(req.URL.Path, "nested-") && !r.internalCall(client, n, req) {
 			standin.Sign(w)
 			w.WriteHeader(http.StatusInternalServerError)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -40,11 +40,13 @@
 	toStore      *proxy
 	toBackend    *proxy
 
+	replacing sync.Mutex // held while one backend server follows another; taken before mu
+
 	mu                sync.Mutex
 	cmd               *exec.Cmd
 	exited            chan struct{}
 	keepRunning       bool // restart the process when it exits
-	starts            int
+	startTimes        []time.Time
 	backend           *standin.Backend
 	pastBackends      []*standin.Backend             // earlier ones, kept for the records of what they ran
 	leaveAcknowledged map[*standin.Backend]time.Time // when the node acknowledged that it leaves
@@ -150,7 +152,7 @@
 		return err
 	}
 	n.cmd, n.exited = cmd, make(chan struct{})
-	n.starts++
+	n.startTimes = append(n.startTimes, time.Now())
 	go n.watch(cmd, n.exited)
 	return nil
 }
@@ -231,6 +233,28 @@
 	}()
 }
 
+// replaceBackend stops a backend server at once and starts the next one after a pause, unless
+// another one runs already.
+func (n *node) replaceBackend(b *standin.Backend, pause time.Duration, intercept func(http.ResponseWriter, *http.Request) bool) {
+	n.replacing.Lock()
+	defer n.replacing.Unlock()
+	n.mu.Lock()
+	current, crash := n.backend, n.crashBackend
+	n.mu.Unlock()
+	if current != b {
+		return
+	}
+	crash()
+	time.Sleep(pause)
+	n.newBackend(intercept)
+}
+
+func (n *node) currentBackend() *standin.Backend {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.backend
+}
+
 // backends returns all backend servers that have run beside the node.
 func (n *node) backends() []*standin.Backend {
 	n.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -44,6 +44,8 @@
 	mu             sync.Mutex
 	rnd            *rand.Rand
 	responseFaults map[*node]responseFault
+	conditions     map[*node]*condition // what backend servers state now
+	pastConditions []*condition
 }
 
 // Run runs a fleet under faults and returns the guarantees that were violated.
@@ -59,6 +61,7 @@
 	r := &run{
 		cfg: cfg, fleet: f, config: newOperatorConfig(), plannedOnly: cfg.PlannedOnly,
 		rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), responseFaults: map[*node]responseFault{},
+		conditions: map[*node]*condition{},
 	}
 	r.callers = &callers{config: r.config}
 	r.config.write(f)
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -82,6 +82,9 @@
 	return b
 }
 
+// ID returns the ID of the backend server.
+func (b *Backend) ID() string { return b.cfg.ID }
+
 // Intercept calls f for each request that runs. If f returns true, it has written
 // the response; if false, the usual response is sent.
 func (b *Backend) Intercept(f func(w http.ResponseWriter, r *http.Request) bool) {
