Bound the volume of log lines about rate limits

A backend server may name another limit in each response, and each change was a line without any bound. The lines now share the bound of lines about requests.

--- a/internal/sidecar/condition.go
+++ b/internal/sidecar/condition.go
@@ -28,7 +28,8 @@
 		g.n.member.scheduleUpdate()
 	}
 	if change.RateLimit {
-		g.log.Info("rate limit of the backend server changed", "event", "backend_limit", "id", r.ID, "request", c.ID,
+		// The limit may change with each response.
+		g.n.requestLog.Info("rate limit of the backend server changed", "event", "backend_limit", "id", r.ID, "request", c.ID,
 			"limit", limitText(current), "previous", limitText(previous))
 	}
 }
@@ -58,7 +59,7 @@
 	}
 	g.mu.Unlock()
 	if changed {
-		g.log.Info("rate limit of the backend server learned from another node", "event", "backend_limit", "id", c.Target, "request", c.ID,
+		g.n.requestLog.Info("rate limit of the backend server learned from another node", "event", "backend_limit", "id", c.Target, "request", c.ID,
 			"limit", c.TargetLimit.Rate, "previous", "unknown")
 	}
 }
