Rate tokens of a workspace go to its important requests first

Cause: a workspace at eight times its rate gets its tokens by chance.

Change: package share orders requests of a workspace by importance, at each node's bucket and at the bank: each leaves a reserve for the more important ones, with a floor of a quarter of their chance. The limit holds as before.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -32,11 +32,24 @@
 // while the others stay below their rates. A node without tokens refuses at once,
 // and asks the bank again only as often as the bank can have received new tokens
 // (emptyBankBackoff).
+//
+// # Order
+//
+// A workspace beyond its rate asks for tokens with requests of all importance. If they
+// went to whoever comes first, its orders would be refused as often as its look-ups.
+// So requests leave a reserve in the bucket for the more important ones of the same
+// workspace: what these asked for lately, for as long as it takes until the bank can
+// bring more. The bank keeps such a reserve too, since in a large fleet it holds nearly
+// all tokens. What the reserve leaves over goes to the others, and they may take from it
+// while a request of theirs gets a token less than a quarter as often as a more important
+// one. The order moves no tokens between nodes by itself, so the limit holds as before.
 package share
 
 import (
 	"math"
 	"time"
+
+	"github.com/teaselseam/teaselseam/internal/request"
 )
 
 const (
@@ -61,6 +74,8 @@
 	// fullThreshold is the fraction of the capacity from which the bank reports that
 	// it is full.
 	fullThreshold = 0.9
+	// roundingError is the fraction of a token that may get lost in sums.
+	roundingError = 1e-6
 )
 
 // Limit is the rate and burst of a workspace across all nodes.
@@ -75,6 +90,9 @@
 	Workspace string  `json:"w"`
 	Deposit   float64 `json:"d,omitempty"` // tokens added to the bank
 	Draw      float64 `json:"n,omitempty"` // tokens requested from the bank
+	// Levels tells how important the requests are for which tokens are drawn. What it lacks
+	// of Draw is for the least important ones.
+	Levels byImportance `json:"l,omitzero"`
 }
 
 // Grant is the entry of one workspace in the bank's answer.
@@ -99,11 +117,13 @@
 	// back to the bank.
 	unused         float64
 	drawnUntil     time.Time // end of the time for which drawn tokens may exceed the capacity
+	drawn          float64   // tokens held after the last draw; zero after drawnUntil
+	order          order
 	refilledAt     time.Time
 	demand         float64 // requests per second, admitted or not
 	demandAt       time.Time
-	needsTokens    bool // a request found no token since the last draw
-	noDrawUntil    time.Time
+	lacking        byImportance // tokens that refused requests lacked since the last draw
+	noDrawUntil    [request.NumImportance]time.Time
 	noDepositUntil time.Time
 }
 
@@ -148,39 +168,49 @@
 
 // Take takes a token for a request, and reports whether the request is admitted.
 // Requests of a workspace without a limit need no token.
-func (bs *Buckets) Take(now time.Time, workspace string) bool {
+func (bs *Buckets) Take(now time.Time, workspace string, imp request.Importance) bool {
 	b := bs.byWorkspace[workspace]
 	if b == nil {
 		return true
 	}
 	b.refill(now)
 	b.recordDemand(now)
-	return b.take()
+	b.order.ask(now, level(imp), 1)
+	return b.take(imp)
 }
 
 // TakeAfterExchange repeats Take for a request that has waited for an exchange with
 // the bank. The request is not counted as demand again.
-func (bs *Buckets) TakeAfterExchange(now time.Time, workspace string) bool {
+func (bs *Buckets) TakeAfterExchange(now time.Time, workspace string, imp request.Importance) bool {
 	b := bs.byWorkspace[workspace]
 	if b == nil {
 		return true
 	}
 	b.refill(now)
-	return b.take()
+	return b.take(imp)
 }
 
-func (b *bucket) take() bool {
-	if b.tokens < 1 {
+func (b *bucket) take(imp request.Importance) bool {
+	imp = level(imp)
+	needed := 1.0
+	if !b.order.belowFloor(imp) {
+		// A reserve beyond the refill of the horizon would leave tokens unused, and so would one
+		// beyond what the bucket holds while no bank is reachable.
+		most := min(b.rate*drawHorizon.Seconds(), max(b.capacity+b.overflowCapacity, b.drawn)-1)
+		needed += b.order.reserve(imp, drawHorizon, most)
+	}
+	if b.tokens < needed {
 		// Tokens that are not deposited yet are used first, which saves a draw.
-		move := min(b.overflow, 1-b.tokens)
+		move := min(b.overflow, needed-b.tokens)
 		b.tokens += move
 		b.overflow -= move
 	}
-	if b.tokens < 1 {
-		b.needsTokens = true
+	if b.tokens < needed-roundingError {
+		b.lacking[imp] = max(b.lacking[imp], needed-b.tokens)
 		return false
 	}
 	b.tokens--
+	b.order.pass(imp)
 	return true
 }
 
@@ -192,10 +222,10 @@
 	}
 }
 
-// CanDraw reports whether a draw from the bank is allowed for the workspace now.
-func (bs *Buckets) CanDraw(now time.Time, workspace string) bool {
+// CanDraw reports whether a draw from the bank is allowed now for requests of the workspace.
+func (bs *Buckets) CanDraw(now time.Time, workspace string, imp request.Importance) bool {
 	b := bs.byWorkspace[workspace]
-	return b != nil && !now.Before(b.noDrawUntil)
+	return b != nil && !now.Before(b.noDrawUntil[level(imp)])
 }
 
 // PrepareExchange returns the next message to the bank: deposits, whose tokens leave
@@ -205,9 +235,9 @@
 	for name, b := range bs.byWorkspace {
 		b.refill(now)
 		t := Transfer{Workspace: name}
-		if b.needsTokens && !now.Before(b.noDrawUntil) {
-			t.Draw = max(1, math.Ceil(b.currentDemand(now)*drawHorizon.Seconds())) - max(b.tokens, 0)
-			b.needsTokens = false
+		if b.wantsDraw(now) {
+			t.Draw, t.Levels = b.draw(now)
+			b.lacking = byImportance{}
 		} else if b.overflow >= b.overflowCapacity/3 && b.overflow > 0 && !now.Before(b.noDepositUntil) {
 			t.Deposit, b.overflow = b.overflow, 0
 		}
@@ -219,6 +249,39 @@
 	return out
 }
 
+// wantsDraw reports whether refused requests lack tokens that the bank may have.
+func (b *bucket) wantsDraw(now time.Time) bool {
+	for i, lacking := range b.lacking {
+		if lacking > 0 && !now.Before(b.noDrawUntil[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// draw returns the tokens to request from the bank, in all and by importance: what all
+// requests are expected to need for drawHorizon beyond the tokens that the bucket holds, at
+// least what a refused one lacked. The important ones that were refused come first.
+func (b *bucket) draw(now time.Time) (total float64, levels byImportance) {
+	held, lacking := max(b.tokens, 0), 0.0
+	for _, l := range b.lacking {
+		lacking = max(lacking, l)
+	}
+	expected := b.currentDemand(now) * drawHorizon.Seconds()
+	total = math.Ceil(max(expected, held+lacking)) - held
+	rest := total
+	for i := len(levels) - 1; i > 0; i-- {
+		need := b.order.demand[i] * drawHorizon.Seconds()
+		if b.lacking[i] > 0 {
+			levels[i] = min(max(need-held, b.lacking[i]), rest)
+			rest -= levels[i]
+		}
+		held = max(held-need, 0)
+	}
+	levels[0] = rest
+	return total, levels
+}
+
 // ApplyGrants adds the tokens that the bank granted in answer to the message sent.
 func (bs *Buckets) ApplyGrants(now time.Time, sent []Transfer, grants []Grant) {
 	granted := make(map[string]float64, len(grants))
@@ -236,10 +299,8 @@
 		b.refill(now)
 		tokens := min(max(granted[t.Workspace], 0), t.Draw)
 		b.tokens += tokens
-		b.drawnUntil = now.Add(drawHorizon)
-		if tokens < t.Draw/2 {
-			b.noDrawUntil = now.Add(emptyBankBackoff)
-		}
+		b.drawnUntil, b.drawn = now.Add(drawHorizon), b.tokens
+		b.pauseDraws(now, t, tokens)
 	}
 }
 
@@ -248,8 +309,21 @@
 func (bs *Buckets) ExchangeFailed(now time.Time, sent []Transfer) {
 	for _, t := range sent {
 		if b := bs.byWorkspace[t.Workspace]; b != nil && t.Draw > 0 {
-			b.noDrawUntil = now.Add(emptyBankBackoff)
+			for i := range b.noDrawUntil {
+				b.noDrawUntil[i] = now.Add(emptyBankBackoff)
+			}
+		}
+	}
+}
+
+// pauseDraws ends draws for a while for requests of the levels whose part of a draw the bank
+// has granted by less than half. Grants are for the important ones first.
+func (b *bucket) pauseDraws(now time.Time, t Transfer, granted float64) {
+	for i := len(t.Levels) - 1; i >= 0; i-- {
+		if drawn := t.Levels[i]; drawn > 0 && granted < drawn/2 {
+			b.noDrawUntil[i] = now.Add(emptyBankBackoff)
 		}
+		granted = max(granted-t.Levels[i], 0)
 	}
 }
 
@@ -268,9 +342,12 @@
 		return
 	}
 	b.refilledAt = now
-	if excess := b.tokens - b.capacity; excess > 0 && now.After(b.drawnUntil) {
-		b.tokens -= excess
-		b.unused += excess
+	if now.After(b.drawnUntil) {
+		b.drawn = 0
+		if excess := b.tokens - b.capacity; excess > 0 {
+			b.tokens -= excess
+			b.unused += excess
+		}
 	}
 	b.add(b.rate * elapsed)
 }
@@ -295,30 +372,41 @@
 // Bank holds the tokens that nodes have deposited. It is not safe for concurrent
 // use.
 type Bank struct {
+	rate     map[string]float64
 	capacity map[string]float64
 	tokens   map[string]float64
+	orders   map[string]*order
 }
 
 // NewBank returns an empty bank.
-func NewBank() *Bank { return &Bank{capacity: map[string]float64{}, tokens: map[string]float64{}} }
+func NewBank() *Bank {
+	return &Bank{rate: map[string]float64{}, capacity: map[string]float64{}, tokens: map[string]float64{}, orders: map[string]*order{}}
+}
 
 // SetLimits replaces the limits of all workspaces and the number of nodes that share
 // them. Tokens that exceed a reduced capacity are dropped.
 func (b *Bank) SetLimits(limits []Limit, nodes int) {
+	clear(b.rate)
 	clear(b.capacity)
 	for _, l := range limits {
 		if l.Rate > 0 {
+			b.rate[l.Workspace] = l.Rate
 			_, b.capacity[l.Workspace] = capacities(l, max(nodes, 1))
 		}
 	}
 	for name := range b.tokens {
 		b.tokens[name] = min(b.tokens[name], b.capacity[name])
 	}
+	for name := range b.orders {
+		if b.capacity[name] == 0 {
+			delete(b.orders, name)
+		}
+	}
 }
 
 // Handle processes a node's message and returns the answer. Deposits are processed
 // before draws.
-func (b *Bank) Handle(ts []Transfer) []Grant {
+func (b *Bank) Handle(now time.Time, ts []Transfer) []Grant {
 	var out []Grant
 	for _, t := range ts {
 		if t.Deposit <= 0 {
@@ -338,7 +426,7 @@
 		// number. A smaller grant is short of the request by a whole number, so that
 		// the node again holds a whole number: fractions of a token spread over many
 		// nodes could not admit any request.
-		grant := t.Draw - math.Ceil(max(t.Draw-b.tokens[t.Workspace], 0))
+		grant := t.Draw - math.Ceil(max(t.Draw-b.available(now, t)-roundingError, 0))
 		if grant <= 0 {
 			continue
 		}
@@ -347,3 +435,40 @@
 	}
 	return out
 }
+
+// available returns how many tokens a draw may take: all for the most important requests of
+// the workspace, and for the others what exceeds their reserve.
+func (b *Bank) available(now time.Time, t Transfer) (total float64) {
+	o := b.orders[t.Workspace]
+	if o == nil {
+		if b.capacity[t.Workspace] == 0 {
+			return 0
+		}
+		o = &order{}
+		b.orders[t.Workspace] = o
+	}
+	levels := t.levels()
+	for i, n := range levels {
+		o.ask(now, request.Importance(i), n)
+	}
+	for i := len(levels) - 1; i >= 0; i-- {
+		left := b.tokens[t.Workspace] - total
+		reserve := o.reserve(request.Importance(i), overflowWindow, min(b.rate[t.Workspace]*overflowWindow.Seconds(), b.capacity[t.Workspace]-1))
+		total += min(levels[i], max(left-reserve, 0))
+	}
+	return total
+}
+
+// levels returns the tokens that are drawn for each importance. Their sum is Draw, whatever
+// a peer has sent.
+func (t *Transfer) levels() (levels byImportance) {
+	rest := t.Draw
+	for i := len(levels) - 1; i > 0; i-- {
+		if n := t.Levels[i]; n > 0 { // false for NaN
+			levels[i] = min(n, rest)
+			rest -= levels[i]
+		}
+	}
+	levels[0] = rest
+	return levels
+}
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/teaselseam/teaselseam/internal/request"
 )
 
 const workspace = "guild"
@@ -46,12 +48,12 @@
 		for range n {
 			total++
 			i := f.rnd.IntN(targets)
-			if f.nodes[i].Take(f.now, workspace) {
+			if f.nodes[i].Take(f.now, workspace, request.Normal) {
 				count++
 				continue
 			}
 			f.exchange(i)
-			if f.nodes[i].TakeAfterExchange(f.now, workspace) {
+			if f.nodes[i].TakeAfterExchange(f.now, workspace, request.Normal) {
 				count++
 			}
 		}
@@ -72,7 +74,7 @@
 		f.nodes[i].ExchangeFailed(f.now, sent)
 		return
 	}
-	f.nodes[i].ApplyGrants(f.now, sent, f.bank.Handle(sent))
+	f.nodes[i].ApplyGrants(f.now, sent, f.bank.Handle(f.now, sent))
 }
 
 // maxAdmitted returns the largest number of requests admitted in any window of 5 s.
@@ -166,7 +168,7 @@
 	f.run(5*time.Second, 0, 1)
 	for i := range f.nodes {
 		sent := f.nodes[i].PrepareExchange(f.now)
-		f.bank.Handle(sent) // the answer is lost
+		f.bank.Handle(f.now, sent) // the answer is lost
 		f.nodes[i].ExchangeFailed(f.now, sent)
 	}
 	f.run(10*time.Second, 1000, 4)
@@ -202,7 +204,7 @@
 		for i := range f.nodes {
 			if sent := f.nodes[i].PrepareExchange(f.now); len(sent) > 0 {
 				messages++
-				f.nodes[i].ApplyGrants(f.now, sent, f.bank.Handle(sent))
+				f.nodes[i].ApplyGrants(f.now, sent, f.bank.Handle(f.now, sent))
 			}
 		}
 	}
@@ -220,7 +222,7 @@
 			f.run(5*time.Second, 0, 1)
 			for i := range nodes {
 				for range 200 {
-					f.nodes[i].Take(f.now, workspace) // only some find a token; the demand counts
+					f.nodes[i].Take(f.now, workspace, request.Normal) // only some find a token; the demand counts
 				}
 				f.exchange(i)
 				f.run(2*time.Second, 0, 1)
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -80,7 +80,7 @@
 func (n *Node) logOverShare(c *hop.Call, ws *catalog.Workspace) {
 	tokens, bank := n.tokens.state(ws.Name)
 	n.requestLog.Info("workspace has no rate token left", "event", "over_share", "id", c.ID, "workspace", ws.Name,
-		"rate", ws.Rate, "burst", ws.Burst, "tokens", tokens,
+		"importance", c.Importance.String(), "rate", ws.Rate, "burst", ws.Burst, "tokens", tokens,
 		"members", len(*n.state.members.Load()), "bank", bank.node, "bank_heard_ago", bank.ago)
 }
 
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -97,7 +97,7 @@
 	if refusal, ok := n.downstream.admit(c, ws.Weight); !ok {
 		return &hop.Response{Refusal: &refusal}
 	}
-	if !n.tokens.take(ctx, c.Workspace) {
+	if !n.tokens.take(ctx, c.Workspace, c.Importance) {
 		n.logOverShare(c, ws)
 		return hop.Refused(request.ReasonOverShare, overShareRetryAfter)
 	}
--- a/internal/sidecar/tokens.go
+++ b/internal/sidecar/tokens.go
@@ -16,6 +16,7 @@
 	"github.com/teaselseam/teaselseam/internal/fleet"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/pace"
+	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/share"
 )
 
@@ -72,14 +73,14 @@
 
 // take takes a token for a request. It waits for an exchange with the bank if the bank
 // may have tokens.
-func (t *tokens) take(ctx context.Context, workspace string) bool {
+func (t *tokens) take(ctx context.Context, workspace string, imp request.Importance) bool {
 	now := time.Now()
 	t.mu.Lock()
-	if t.buckets.Take(now, workspace) {
+	if t.buckets.Take(now, workspace, imp) {
 		t.mu.Unlock()
 		return true
 	}
-	if !t.buckets.CanDraw(now, workspace) {
+	if !t.buckets.CanDraw(now, workspace, imp) {
 		t.mu.Unlock()
 		return false
 	}
@@ -94,7 +95,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.buckets.TakeAfterExchange(time.Now(), workspace)
+	return t.buckets.TakeAfterExchange(time.Now(), workspace, imp)
 }
 
 func (t *tokens) refund(workspace string) {
@@ -197,7 +198,7 @@
 func (t *tokens) handleTransfers(sent []share.Transfer) []share.Grant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.bank.Handle(sent)
+	return t.bank.Handle(time.Now(), sent)
 }
 
 // serveBank handles another node's message to the bank.
