--- a/internal/pressure/codec.go
+++ b/internal/pressure/codec.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -22,14 +21,16 @@
 	hintFields = 5
 	loadFields = 7
 
-	maxCount    = 1_000_000
-	maxMicros   = 3_600_000_000 // one hour
-	acceptScale = 1000          // accept ratios are sent in thousandths
+	maxCount  = 1_000_000
+	maxMicros = 3_600_000_000 // one hour
+	// reservedValue stands in the field of hints and loads that earlier releases read as the
+	// accepted thousandths of all requests. It is checked and otherwise ignored.
+	reservedValue = 1000
 )
 
 // EncodeHints returns the value of the hints header:
 //
-//	SERVICE:SHED_LEVEL:QUEUE_WAIT_US:SERVICE_TIME_US:ACCEPTED_PER_MILLE,...
+//	SERVICE:SHED_LEVEL:QUEUE_WAIT_US:SERVICE_TIME_US:RESERVED,...
 //
 // Values out of range are clamped. Hints with an invalid service name are left out,
 // and so is the rest of the list from the first hint that does not fit.
@@ -47,7 +48,7 @@
 		text = appendNumber(text, int64(min(h.ShedLevel, request.Critical)))
 		text = appendNumber(text, micros(h.QueueWait))
 		text = appendNumber(text, micros(h.ServiceTime))
-		text = appendNumber(text, perMille(h.AcceptRatio))
+		text = appendNumber(text, reservedValue)
 		if len(text) > MaxTextLength {
 			return string(text[:before])
 		}
@@ -90,7 +91,7 @@
 		return Hint{}, err
 	}
 	var v [hintFields - 1]int64
-	if err := parseNumbers(rest, v[:], []int64{int64(request.Critical), maxMicros, maxMicros, acceptScale}); err != nil {
+	if err := parseNumbers(rest, v[:], []int64{int64(request.Critical), maxMicros, maxMicros, reservedValue}); err != nil {
 		return Hint{}, err
 	}
 	return Hint{
@@ -98,13 +99,12 @@
 		ShedLevel:   request.Importance(v[0]),
 		QueueWait:   time.Duration(v[1]) * time.Microsecond,
 		ServiceTime: time.Duration(v[2]) * time.Microsecond,
-		AcceptRatio: float64(v[3]) / acceptScale,
 	}, nil
 }
 
 // EncodeLoad returns the value of the load header:
 //
-//	LIMIT:RUNNING:QUEUED:WAIT_US:SERVICE_TIME_US:SHED_LEVEL:ACCEPTED_PER_MILLE
+//	LIMIT:RUNNING:QUEUED:WAIT_US:SERVICE_TIME_US:SHED_LEVEL:RESERVED
 //
 // Values out of range are clamped.
 func EncodeLoad(l Load) string {
@@ -115,14 +115,14 @@
 	text = appendNumber(text, micros(l.Wait))
 	text = appendNumber(text, micros(l.ServiceTime))
 	text = appendNumber(text, int64(min(l.ShedLevel, request.Critical)))
-	text = appendNumber(text, perMille(l.AcceptRatio))
+	text = appendNumber(text, reservedValue)
 	return string(text[1:])
 }
 
 // ParseLoad parses the value of a load header as strictly as ParseHints.
 func ParseLoad(text string) (Load, error) {
 	var v [loadFields]int64
-	bounds := []int64{maxCount, maxCount, maxCount, maxMicros, maxMicros, int64(request.Critical), acceptScale}
+	bounds := []int64{maxCount, maxCount, maxCount, maxMicros, maxMicros, int64(request.Critical), reservedValue}
 	if err := parseNumbers(text, v[:], bounds); err != nil {
 		return Load{}, fmt.Errorf("load: %w", err)
 	}
@@ -133,7 +133,6 @@
 		Wait:        time.Duration(v[3]) * time.Microsecond,
 		ServiceTime: time.Duration(v[4]) * time.Microsecond,
 		ShedLevel:   request.Importance(v[5]),
-		AcceptRatio: float64(v[6]) / acceptScale,
 	}, nil
 }
 
@@ -203,10 +202,3 @@
 func micros(d time.Duration) int64 {
 	return min(max(d.Microseconds(), 0), maxMicros)
 }
-
-func perMille(ratio float64) int64 {
-	if !(ratio > 0) { // also NaN
-		return 0
-	}
-	return int64(math.Round(min(ratio, 1) * acceptScale))
-}
--- a/internal/pressure/doc.go
+++ b/internal/pressure/doc.go
@@ -46,18 +46,6 @@
 // requests are also refused if the time left until their deadline is too short for
 // the typical service time of a service behind the route.
 //
-// # Failures
-//
-// All backend servers of a service may reject a part of what they get, whatever their load.
-// Waits do not show that. A request that makes several calls there, one after the other,
-// hardly ever succeeds, because the second sends, which are bounded, are spread over all
-// requests. So the node that makes the calls counts how they end (Acceptance), and hints
-// carry the fraction of requests of which all calls succeed (Hint.PerRequest). The failure
-// level is a third threshold, which keeps that fraction near targetAcceptance: fewer
-// requests begin, and those get the second sends that they need. It reaches beyond the
-// highest importance, where it refuses a part of these requests too, and exempts no
-// workspace, since the requests of all would fail. docs/design/entry.md has the figures.
-//
 // # Workspaces
 //
 // The guards protect a workspace that stays within its share from an overload that
@@ -72,9 +60,7 @@
 // Hints lose their weight between 0.7 s and 1 s after they arrive. While requests
 // pass, such as the most important ones, their responses bring new hints. If none
 // arrive, a request is admitted now and then as a probe. Once the overload is over,
-// the backlog level falls from its maximum to zero in half a second. Hints on failures
-// keep their weight for 2 s, and probes are more frequent: what passed while the weight
-// fell would take the second sends from the others.
+// the backlog level falls from its maximum to zero in half a second.
 //
 // The alternative, to refuse by the measured probability of completing in time, is
 // compared in docs/decisions/early-refusal.md, with the figures.
--- a/internal/pressure/hint.go
+++ b/internal/pressure/hint.go
@@ -15,7 +15,6 @@
 	ShedLevel   request.Importance // requests of lower importance are shed if they would have to wait
 	QueueWait   time.Duration      // expected wait in the queue
 	ServiceTime time.Duration      // typical time at a backend server, including its internal calls
-	AcceptRatio float64            // fraction of the requests of which all calls to the service succeed
 }
 
 // Load is the load of a guard, as sent with its responses.
@@ -26,7 +25,6 @@
 	Wait        time.Duration
 	ServiceTime time.Duration
 	ShedLevel   request.Importance
-	AcceptRatio float64
 }
 
 // LoadOf returns the load to send with the response to a request of the route. The wait
@@ -36,19 +34,17 @@
 	state := q.Load()
 	return Load{
 		Limit: state.Limit, Running: state.Running, Queued: state.Waiting, Wait: q.ExpectedStart(now, internal),
-		ServiceTime: q.ServiceTime(route), AcceptRatio: 1,
+		ServiceTime: q.ServiceTime(route),
 	}
 }
 
-// Hint returns the hint on a service whose guard reported this load. Its acceptance is 1:
-// how the calls to the service end is counted by their caller (Acceptance).
+// Hint returns the hint on a service whose guard reported this load.
 func (l Load) Hint(service string) Hint {
 	return Hint{
 		Service:     service,
 		ShedLevel:   l.ShedLevel,
 		QueueWait:   l.Wait,
 		ServiceTime: l.ServiceTime,
-		AcceptRatio: 1,
 	}
 }
 
@@ -69,7 +65,6 @@
 func compareOverload(a, b Hint) int {
 	return cmp.Or(
 		cmp.Compare(b.ShedLevel, a.ShedLevel),
-		cmp.Compare(a.AcceptRatio, b.AcceptRatio),
 		cmp.Compare(b.QueueWait, a.QueueWait),
 	)
 }
--- a/internal/pressure/table.go
+++ b/internal/pressure/table.go
@@ -62,7 +62,6 @@
 	backlogLevel float64 // refusal threshold that keeps the wait near targetQueueWait
 	queueWait    float64 // seconds
 	serviceTime  float64 // seconds
-	failure      failureLevel
 	updatedAt    time.Time
 }
 
@@ -78,7 +77,6 @@
 	case age > 0:
 		s.adjustBacklogLevel(h.QueueWait, min(age, maxBacklogStep))
 	}
-	s.failure.adjust(now, h.AcceptRatio, age)
 	if age > 0 {
 		s.updatedAt = now
 	}
@@ -131,9 +129,6 @@
 // Table holds what an ingress knows of the services behind its routes. It is not
 // safe for concurrent use.
 type Table struct {
-	// RefusesFailing reports whether the failure level of a service is in use; nil for none.
-	RefusesFailing func(service string) bool
-
 	services map[string]*service
 	routes   map[string]*route
 	sweptAt  time.Time
@@ -145,32 +140,24 @@
 }
 
 // Observe records the hints in a response to a request of the route, whether the
-// request completed or was refused. It returns the services that begin or end to fail.
-func (t *Table) Observe(now time.Time, routeName string, hints []Hint) []FailureChange {
+// request completed or was refused.
+func (t *Table) Observe(now time.Time, routeName string, hints []Hint) {
 	if len(hints) == 0 {
-		return nil
+		return
 	}
 	t.sweep(now)
 	r := t.route(routeName)
 	if r == nil {
-		return nil
+		return
 	}
-	var changes []FailureChange
 	for _, h := range hints {
 		s := t.service(h.Service)
 		if s == nil {
 			continue
 		}
-		if t.RefusesFailing == nil || !t.RefusesFailing(h.Service) {
-			h.AcceptRatio = 1
-		}
 		s.update(now, h)
 		r.addDownstream(now, s)
-		if f := &s.failure; f.changed() {
-			changes = append(changes, FailureChange{Service: h.Service, Failing: f.reported, Acceptance: h.AcceptRatio, Since: now.Sub(f.since)})
-		}
 	}
-	return changes
 }
 
 // Request describes a request at the ingress.
@@ -197,9 +184,6 @@
 		r.refusedSinceProbe++
 		return request.Refuse(reason, retryAfter(bottleneck, req.Importance, rnd)), false
 	}
-	if s := r.failing(now, req.Importance, rnd); s != nil {
-		return request.Refuse(request.ReasonDownstreamFailing, s.failure.retryAfter(now, req.Remaining, rnd)), false
-	}
 	return request.Refusal{}, true
 }
 
@@ -219,33 +203,6 @@
 	return !r.allowProbe(now, bottleneck)
 }
 
-// failing returns the service for whose failures a request is refused, nil if there is
-// none. Workspaces within their share are refused too: their requests would fail as well.
-func (r *route) failing(now time.Time, imp request.Importance, rnd *rand.Rand) *service {
-	var worst *service
-	risk := 0.0
-	for i := range r.downstream {
-		s := r.downstream[i].service
-		s.failure.observe(now, imp)
-		if v := s.failure.risk(imp, now.Sub(s.updatedAt)); v > risk {
-			worst, risk = s, v
-		}
-	}
-	if worst == nil || rnd.Float64() >= risk || worst.failure.allowProbe(now, worst.updatedAt, imp) {
-		return nil
-	}
-	return worst
-}
-
-// FailureLevel returns the highest failure level of the services behind the routes.
-func (t *Table) FailureLevel(now time.Time) float64 {
-	level := 0.0
-	for _, s := range t.services {
-		level = max(level, s.failure.at(now.Sub(s.updatedAt)))
-	}
-	return level
-}
-
 // risk returns the service most likely to make a request fail, the probability with
 // which the request is to be refused for it, and the reason. The probability is zero for
 // requests of the highest importance: only guards refuse those.
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -56,18 +56,15 @@
 	ReasonRejected       Reason = "rejected"     // by a backend server that does not report that it is full
 	ReasonElsewhere      Reason = "elsewhere"    // between nodes only: another backend server is expected to finish it sooner
 	ReasonDownstream     Reason = "downstream_overload"
-	// ReasonDownstreamFailing means that calls to a service behind the route fail too often
-	// for the request to succeed.
-	ReasonDownstreamFailing Reason = "downstream_failing"
-	ReasonDeadline          Reason = "deadline"
-	ReasonDraining          Reason = "draining"
-	ReasonEvacuated         Reason = "evacuated" // the data centre of the backend server
-	ReasonNoBackend         Reason = "no_backend_server"
-	ReasonBackendLost       Reason = "backend_server_lost"
-	ReasonPeerLost          Reason = "peer_lost"
-	ReasonNodeStale         Reason = "node_stale"
-	ReasonQuarantined       Reason = "quarantined"
-	ReasonCancelled         Reason = "cancelled"
+	ReasonDeadline       Reason = "deadline"
+	ReasonDraining       Reason = "draining"
+	ReasonEvacuated      Reason = "evacuated" // the data centre of the backend server
+	ReasonNoBackend      Reason = "no_backend_server"
+	ReasonBackendLost    Reason = "backend_server_lost"
+	ReasonPeerLost       Reason = "peer_lost"
+	ReasonNodeStale      Reason = "node_stale"
+	ReasonQuarantined    Reason = "quarantined"
+	ReasonCancelled      Reason = "cancelled"
 )
 
 // Refusal is the final response to a request that a node rejects or cannot complete.
--- a/internal/settings/compiled.go
+++ b/internal/settings/compiled.go
@@ -45,9 +45,6 @@
 	MaxConnections int           // that one backend server accepts
 	MaxBody        int64         // bytes
 	QueueTime      time.Duration // maximum time in the queue for a slot
-	// RefuseFailing is set if requests are refused before they begin while calls to the
-	// service fail regardless of its load.
-	RefuseFailing bool
 }
 
 // Compiled is a tree with all values resolved and parsed, for use while handling
@@ -199,14 +196,12 @@
 
 func (t *Tree) service(name string) *Service {
 	b := Branch{Kind: KindService, Name: name}
-	refuseFailing, _ := t.Lookup(b, "refuse_failing")
 	return &Service{
 		Name:           name,
 		RetryRatio:     t.float(b, "retry_ratio"),
 		MaxConnections: int(t.integer(b, "max_connections")),
 		MaxBody:        t.integer(b, "max_body"),
 		QueueTime:      t.duration(b, "queue_time"),
-		RefuseFailing:  refuseFailing == "true",
 	}
 }
 
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -113,10 +113,6 @@
 		Key: "queue_time", Kind: KindService, Type: TypeDuration, Min: 0.01, Max: 60, Default: "10s",
 		Doc: "Maximum time that a request is queued for a slot. Its latency target limits the time as well.",
 	},
-	{
-		Key: "refuse_failing", Kind: KindService, Type: TypeBoolean, Default: "false",
-		Doc: "Whether requests are refused before they begin while calls to this service fail regardless of its load.",
-	},
 }
 
 var schemaByKey = func() map[string]*Setting {
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -7,7 +7,6 @@
 
 	"github.com/teaselseam/teaselseam/internal/catalog"
 	"github.com/teaselseam/teaselseam/internal/hop"
-	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/routing"
 )
@@ -83,13 +82,3 @@
 		"importance", c.Importance.String(), "rate", ws.Rate, "burst", ws.Burst, "tokens", tokens,
 		"members", len(*n.state.members.Load()), "bank", bank.node, "bank_heard_ago", bank.ago)
 }
-
-// logFailureChange logs that the entry begins or ends to refuse requests because calls to a
-// service behind their routes fail.
-func (n *Node) logFailureChange(c pressure.FailureChange) {
-	text := "calls to a downstream service succeed again"
-	if c.Failing {
-		text = "calls to a downstream service fail too often"
-	}
-	n.log.Info(text, "event", "downstream_failing", "service", c.Service, "failing", c.Failing, "acceptance", c.Acceptance, "since", c.Since)
-}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -102,9 +102,7 @@
 		return hop.Refused(request.ReasonOverShare, overShareRetryAfter)
 	}
 	resp := n.callWithRetries(ctx, c, route)
-	for _, change := range n.downstream.observeHints(c, resp) {
-		n.logFailureChange(change)
-	}
+	n.downstream.observeHints(c, resp)
 	if resp.Refusal != nil && resp.Refusal.Outcome == request.NotRun && !resp.ReachedBackend {
 		n.tokens.refund(c.Workspace)
 	}
@@ -115,7 +113,7 @@
 func (n *Node) handleInternalCall(ctx context.Context, c *hop.Call, route *catalog.Route) *hop.Response {
 	n.downstream.internalCallStarted(c)
 	resp := n.callWithRetries(ctx, c, route)
-	n.downstream.internalCallEnded(c, resp, ctx.Err() != nil)
+	n.downstream.internalCallEnded(c, resp)
 	if resp.Refusal != nil || resp.Status >= 500 {
 		n.guard.internalCallFailed()
 	}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -81,7 +81,6 @@
 		return -1 // no limit
 	})
 	gauge("teaselseam_requests_ahead", func() float64 { return float64(n.ahead.Requests()) })
-	gauge("teaselseam_entry_failure_level", n.downstream.failureLevel)
 	gauge(`teaselseam_connections_opened{to="backend"}`, func() float64 { return float64(n.guard.pool.Opened()) })
 	gauge(`teaselseam_connections_opened{to="peer"}`, func() float64 { return float64(n.peers.Opened()) })
 	gauge(`teaselseam_connections_lost{to="backend"}`, func() float64 { return float64(n.guard.pool.Lost()) })
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -119,7 +119,6 @@
 	n.state = newStoreState(n)
 	n.crashes = newCrashTracker(log, n.publishCrash)
 	n.downstream = newDownstream()
-	n.downstream.table.RefusesFailing = n.refusesFailing
 	n.guard = newGuard(n)
 	n.balancer = newBalancer(s, n.guard.handle, n.peers)
 	n.tokens = newTokens(n)
