Early refusal lets a queue be longer where the services before it have slots to spare

The backlog level keeps its queue at 30 ms; its load is spread unevenly (1.7 times the mean at the busiest), so some guards run empty.

Change: after a second in which the queue is long and no other service of the route has a mean wait of 10 ms, the target is 60 ms. Where slots before the short service run out, 30 ms stay.

--- a/internal/model/coldstart_test.go
+++ b/internal/model/coldstart_test.go
@@ -247,7 +247,7 @@
 			from.hint = pressure.LoadOf(f.now, n.queue, "deep", true).Hint("deep")
 		}
 		if from.hint.Service != "" {
-			entry.Observe(f.now, "front", []pressure.Hint{from.hint})
+			entry.Observe(f.now, "front", 0, []pressure.Hint{from.hint})
 		}
 		if !ok {
 			if r.Importance < request.Critical {
--- a/internal/model/ours.go
+++ b/internal/model/ours.go
@@ -128,7 +128,7 @@
 		Kind: resultKind(r), Latency: p.sim.events.now - a.sent, Load: &report,
 	})
 	service := p.sim.graph.Services[a.call.service].Name
-	a.call.from.pressure.Observe(p.sim.events.wallTime(), service, r.hints)
+	a.call.from.pressure.Observe(p.sim.events.wallTime(), service, r.reportedLoad.Wait, r.hints)
 	return append(r.hints, r.reportedLoad.Hint(service))
 }
 
--- a/internal/pressure/doc.go
+++ b/internal/pressure/doc.go
@@ -42,6 +42,11 @@
 // services bound the number of requests that reach the slow one, so its queue stays
 // too short for its guards to shed while the queues upstream are full.
 //
+// A target as short as that leaves a service idle whose load is spread unevenly: some of
+// its guards run out of requests while others have a queue. It is worth it only where the
+// slots of the services before it are short. If none of these has had requests waiting
+// for a second, the target is relaxedQueueWait.
+//
 // Requests of the highest importance always pass these two: only guards refuse them. Other
 // requests are also refused if the time left until their deadline is too short for
 // the typical service time of a service behind the route.
--- a/internal/pressure/model_test.go
+++ b/internal/pressure/model_test.go
@@ -233,9 +233,10 @@
 		for _, s := range g.stations[1 : req.reachedStation+1] {
 			hints = append(hints, s.queue.load(req).Hint(s.name))
 		}
+		entryWait := g.stations[0].queue.load(req).Wait
 		req.done = g.now
 		g.after(hopLatency, func() {
-			req.ingress.Observe(g.time(), req.Route, hints)
+			req.ingress.Observe(g.time(), req.Route, entryWait, hints)
 			g.successRates.record(g.time(), req, req.completed && g.now-req.sent <= modelDeadline)
 		})
 		return
--- a/internal/pressure/table.go
+++ b/internal/pressure/table.go
@@ -43,6 +43,13 @@
 	// at this rate if there is no wait, so from its maximum to zero in half a second.
 	targetQueueWait = 30 * time.Millisecond
 	backlogGain     = 6.0
+	// relaxedQueueWait is the target once a queue has been long for relaxAfter, and the mean
+	// wait at the services before it has stayed below crowdedWait all the while: they have
+	// slots to spare, and a queue of targetQueueWait runs empty at some guards at times. A
+	// longer one makes the guards refuse calls of important requests as well.
+	relaxedQueueWait = 60 * time.Millisecond
+	relaxAfter       = time.Second
+	crowdedWait      = 10 * time.Millisecond
 	// maxBacklogStep bounds the time step by which one hint changes the backlog level.
 	maxBacklogStep = 500 * time.Millisecond
 
@@ -63,9 +70,13 @@
 	queueWait    float64 // seconds
 	serviceTime  float64 // seconds
 	updatedAt    time.Time
+	longAt       time.Time // when the wait was last above targetQueueWait
+	spareSince   time.Time // since when the queue is long while services before it have slots to spare
 }
 
-func (s *service) update(now time.Time, h Hint) {
+// update records a hint. crowded is set if requests wait at the services before this one.
+func (s *service) update(now time.Time, h Hint, crowded bool) {
+	target := s.target(now, h.QueueWait, crowded)
 	age := now.Sub(s.updatedAt)
 	s.shedLevel = movingAverage(s.shedLevel, float64(min(h.ShedLevel, request.Critical)), age)
 	s.queueWait = movingAverage(s.queueWait, h.QueueWait.Seconds(), age)
@@ -73,19 +84,34 @@
 	switch {
 	case age >= maxHintAge: // a single hint after a gap says little about the trend
 		s.backlogLevel = 0
-		s.adjustBacklogLevel(h.QueueWait, smoothingTime)
+		s.adjustBacklogLevel(h.QueueWait, target, smoothingTime)
 	case age > 0:
-		s.adjustBacklogLevel(h.QueueWait, min(age, maxBacklogStep))
+		s.adjustBacklogLevel(h.QueueWait, target, min(age, maxBacklogStep))
 	}
 	if age > 0 {
 		s.updatedAt = now
 	}
 }
 
+// target returns the queue wait to steer the service to. A short queue keeps the services
+// before it from running out of slots; if they don't, a longer one keeps the service busy.
+func (s *service) target(now time.Time, wait time.Duration, crowded bool) time.Duration {
+	if wait > targetQueueWait {
+		s.longAt = now
+	}
+	if crowded || now.Sub(s.longAt) >= relaxAfter {
+		s.spareSince = now
+	}
+	if now.Sub(s.spareSince) < relaxAfter {
+		return targetQueueWait
+	}
+	return relaxedQueueWait
+}
+
 // adjustBacklogLevel raises or lowers the backlog level by the distance of the wait
 // from its target. The package comment tells why the shed level alone is not enough.
-func (s *service) adjustBacklogLevel(wait, step time.Duration) {
-	deviation := (wait - targetQueueWait).Seconds() / targetQueueWait.Seconds()
+func (s *service) adjustBacklogLevel(wait, target, step time.Duration) {
+	deviation := (wait - target).Seconds() / target.Seconds()
 	s.backlogLevel += backlogGain * step.Seconds() * min(deviation, 1)
 	s.backlogLevel = min(max(s.backlogLevel, 0), float64(request.Critical))
 }
@@ -121,6 +147,8 @@
 
 type route struct {
 	downstream        []downstreamService
+	entryWait         float64 // moving average of the wait at the first service, in seconds
+	entryWaitAt       time.Time
 	probedAt          time.Time
 	refusedSinceProbe int
 	demand            demand
@@ -139,9 +167,9 @@
 	return &Table{services: make(map[string]*service), routes: make(map[string]*route)}
 }
 
-// Observe records the hints in a response to a request of the route, whether the
-// request completed or was refused.
-func (t *Table) Observe(now time.Time, routeName string, hints []Hint) {
+// Observe records the hints in a response to a request of the route, whether the request
+// completed or was refused. entryWait is the wait that the guard of the first service reports.
+func (t *Table) Observe(now time.Time, routeName string, entryWait time.Duration, hints []Hint) {
 	if len(hints) == 0 {
 		return
 	}
@@ -150,16 +178,33 @@
 	if r == nil {
 		return
 	}
+	r.entryWait = movingAverage(r.entryWait, entryWait.Seconds(), now.Sub(r.entryWaitAt))
+	r.entryWaitAt = now
 	for _, h := range hints {
 		s := t.service(h.Service)
 		if s == nil {
 			continue
 		}
-		s.update(now, h)
+		s.update(now, h, r.crowdedBeside(now, s))
 		r.addDownstream(now, s)
 	}
 }
 
+// crowdedBeside reports whether requests wait at the first service of the route or at one
+// behind it other than s.
+func (r *route) crowdedBeside(now time.Time, s *service) bool {
+	if r.entryWait >= crowdedWait.Seconds() {
+		return true
+	}
+	for i := range r.downstream {
+		other := r.downstream[i].service
+		if other != s && other.queueWait >= crowdedWait.Seconds() && now.Sub(other.updatedAt) < maxHintAge {
+			return true
+		}
+	}
+	return false
+}
+
 // Request describes a request at the ingress.
 type Request struct {
 	Route      string
--- a/internal/pressure/table_test.go
+++ b/internal/pressure/table_test.go
@@ -45,7 +45,7 @@
 					return err.Error() + "\n"
 				}
 				for range n {
-					table.Observe(now, route, hints)
+					table.Observe(now, route, 0, hints)
 					now = now.Add(time.Duration(every) * time.Millisecond)
 				}
 				return ""
@@ -90,7 +90,7 @@
 		table, now := NewTable(), epoch
 		for range rapid.IntRange(1, 30).Draw(t, "hints") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "gap")) * time.Millisecond)
-			table.Observe(now, "r", []Hint{drawHint(t)})
+			table.Observe(now, "r", 0, []Hint{drawHint(t)})
 		}
 		remaining := time.Duration(rapid.IntRange(1, 300).Draw(t, "remaining")) * time.Millisecond
 		previous := 1.0
@@ -144,7 +144,7 @@
 func BenchmarkAdmit(b *testing.B) {
 	table, rnd := NewTable(), rand.New(rand.NewPCG(1, 1))
 	for i := range 8 {
-		table.Observe(epoch, "r", []Hint{{Service: fmt.Sprint(i), ShedLevel: request.High, QueueWait: 100 * time.Millisecond}})
+		table.Observe(epoch, "r", 0, []Hint{{Service: fmt.Sprint(i), ShedLevel: request.High, QueueWait: 100 * time.Millisecond}})
 	}
 	now := epoch
 	b.ReportAllocs()
@@ -167,6 +167,6 @@
 		if err != nil || len(parsed) != 8 {
 			b.Fatal(parsed, err)
 		}
-		table.Observe(epoch, "r", parsed)
+		table.Observe(epoch, "r", 0, parsed)
 	}
 }
--- a/internal/sidecar/downstream.go
+++ b/internal/sidecar/downstream.go
@@ -104,5 +104,9 @@
 func (d *downstream) observeHints(c *hop.Call, resp *hop.Response) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.table.Observe(time.Now(), c.Route, resp.Hints)
+	var wait time.Duration
+	if resp.Load != nil {
+		wait = resp.Load.Wait
+	}
+	d.table.Observe(time.Now(), c.Route, wait, resp.Hints)
 }
