--- a/internal/pressure/spare_test.go
+++ b/internal/pressure/spare_test.go
@@ -40,7 +40,9 @@
 
 func (s *shortService) time() time.Time { return epoch.Add(s.now) }
 
-func (s *shortService) after(d time.Duration, run func()) { heap.Push(&s.events, event{s.now + d, run}) }
+func (s *shortService) after(d time.Duration, run func()) {
+	heap.Push(&s.events, event{s.now + d, run})
+}
 
 // run sends requests at a rate, a quarter of them critical.
 func (s *shortService) run(rate float64) {
