A settings tree that still has refuse_failing is read without it

Found at the read-through: nodes refuse a tree with a setting that they don't know and keep the previous one, and one that starts has none, so removing a setting would have cost an operator who had set it all others. TestRemovedKeys failed before.

--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -7,6 +7,10 @@
 	"slices"
 )
 
+// removedKeys are settings of earlier releases. A tree that still has one is read without it:
+// a node that refused the tree would run without any of the operator's settings.
+var removedKeys = map[string]bool{"refuse_failing": true}
+
 // Parse parses and validates a complete tree in INI form. The file name is used in
 // errors only. An error is a *Problem: the first invalid setting in the order of the
 // file, or else the first invalid route.
@@ -71,6 +75,9 @@
 		}
 		values := Values{}
 		for _, v := range s.Values {
+			if removedKeys[v.Key] {
+				continue
+			}
 			if err := checkValue(b, v.Key, v.Value); err != nil {
 				add(s.Name, v.Key, v.Value, err.Error())
 			}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -213,3 +213,22 @@
 		t.Errorf("missing =: got %v", problems)
 	}
 }
+
+// TestRemovedKeys guards against a tree of an earlier release that nodes refuse as a whole
+// because of a setting that no longer exists.
+func TestRemovedKeys(t *testing.T) {
+	tree, err := Parse("tree", []byte("[service stock]\nretry_ratio = 0.05\nrefuse_failing = true\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := ParseBranch("service stock")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := tree.Lookup(b, "retry_ratio"); got != "0.05" {
+		t.Errorf("retry_ratio is %q", got)
+	}
+	if v, _ := tree.Lookup(b, "refuse_failing"); v != "" {
+		t.Errorf("refuse_failing is %q", v)
+	}
+}
