--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -109,11 +109,12 @@
 }
 
 // TestRetriesLast guards against a service in trouble for 8 s that uses all retries in the
-// first second, so that no later call can be retried.
+// first second, so that no later call can be retried, and against leaving more than half of
+// what users allow in a window unused meanwhile.
 func TestRetriesLast(t *testing.T) {
 	now := time.Unix(0, 0)
 	a := NewAccount(now, Bounds{Ratio: 0.2, Cap: 0.2, Nodes: 1, Window: 10 * time.Second})
-	var last int
+	var last, total int
 	for second := range 20 {
 		last = 0
 		for range 1000 {
@@ -121,12 +122,16 @@
 			a.RecordFirst(now)
 			if second >= 12 && a.Take(now, false) {
 				last++
+				total++
 			}
 		}
 	}
 	if last < 50 {
 		t.Errorf("%d retries in the last second, want 50 of 1000", last)
 	}
+	if total < 1000 {
+		t.Errorf("%d retries in 8 s, want half of the 2000 that are allowed in 10 s", total)
+	}
 }
 
 // TestRatioFollowsConfig guards against a limiter that keeps the limits of its first use
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -312,6 +312,32 @@
 	}
 }
 
+// TestRejectedByAll guards against failing a request that each backend server of a small
+// service has rejected once, whatever its load: at the next attempt it may pass.
+func TestRejectedByAll(t *testing.T) {
+	c := prepareCluster(t, "stock", "stock")
+	c.adjustSettings = func(s *platform.Settings) { s.Bounds.RetryExtra = 500 }
+	c.start()
+	var arrivals sync.Map // number by request ID
+	for _, n := range c.nodes {
+		n.backend.Intercept(func(w http.ResponseWriter, r *http.Request) bool {
+			count, _ := arrivals.LoadOrStore(r.Header.Get("Request-Id"), new(atomic.Int64))
+			if count.(*atomic.Int64).Add(1) > 3 {
+				return false
+			}
+			w.Header().Set("Not-Executed", "1")
+			w.Header().Set("Server-Load", "0,0,4")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		})
+	}
+	for range 5 {
+		if r := c.send(c.nodes[0], http.MethodPost, "/stock/order/1", "key-guild", "x", newID(), 2*time.Second); !r.served() {
+			t.Fatalf("%+v", r)
+		}
+	}
+}
+
 // TestLostAnswer guards against three faults after a lost response: running a request
 // twice that is not idempotent, reporting it as not run, and failing an idempotent one.
 func TestLostAnswer(t *testing.T) {
