A call on a connection that went silent before it was sent no longer waits for its deadline

Callers saw 504 after the whole of their deadline for idempotent requests whose node was well: the call had been sent on an idle connection that the network had swallowed. The sending node asks whether the other one has the call only if it has opened a connection to it since the call was sent. If the other connections were opened before that, they bring contact, and nobody asks.

Change: the node is asked once about each overdue idempotent call if a connection was opened since the one in use may have been heard from last.

--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -62,7 +62,8 @@
 
 	timer *time.Timer
 	due   time.Time // next run of check, which owns it and checked
-	// checked is when the node was last asked for the call, or when that was sent.
+	// checked is when the node was last asked for the call. Before that it is the earliest time
+	// at which the connection in use may have been heard from last, since it may have been idle.
 	checked time.Time
 	state   atomic.Int32
 }
@@ -78,7 +79,7 @@
 // after mayAbandon has returned true.
 func (n *Node) monitorAttempt(c *hop.Call, ep endpoint, mayAbandon func() bool, cancel context.CancelFunc) *attemptMonitor {
 	now := time.Now()
-	m := &attemptMonitor{n: n, call: c, endpoint: ep, sent: now, checked: now, mayAbandon: mayAbandon, cancel: cancel}
+	m := &attemptMonitor{n: n, call: c, endpoint: ep, sent: now, checked: now.Add(-peerIdleTimeout), mayAbandon: mayAbandon, cancel: cancel}
 	wait := n.responseTimes.overdueAfter(c.Route)
 	m.due = m.sent.Add(wait)
 	m.timer = time.AfterFunc(time.Hour, m.check)
