Odd rows of the fleet's table name no member and remove none

Here, a row that cannot be decoded took away the member known before, so that callers got 503 no_backend_server until its node had written it again, and longer while the store took no writes. Rows with port 70000, 9e18 slots, a start time or a cold time of any size were members, counted in the workspaces' shares.

Change: a row whose address is no IP and port, or with a figure that no node would write, is an error like one that cannot be decoded; the member known before stays until its row is written again or removed. Its own node sees an unknown row and writes it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,9 +12,12 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
+	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -67,30 +70,79 @@
 // Encode returns the value of the member's row.
 func (m *Member) Encode() ([]byte, error) { return json.Marshal(m) }
 
-// Decode parses the value of a node's row.
+// Bounds of the figures in a row. They are far beyond those of any backend server, and keep
+// sums and durations that are computed from them from overflowing.
+const (
+	maxSlots = 1 << 20
+	maxCold  = time.Hour
+	maxBorn  = 1 << 52 // Unix milliseconds
+)
+
+// Decode parses the value of a node's row. Other programs may write to the table, so a row
+// that no node would write is an error.
 func Decode(node string, value []byte) (*Member, error) {
 	m := &Member{Node: node}
 	if err := json.Unmarshal(value, m); err != nil {
 		return nil, fmt.Errorf("row of node %q: %w", node, err)
 	}
-	if m.Address == "" || m.DataCentre == "" {
-		return nil, fmt.Errorf("row of node %q lacks an address or a data centre", node)
+	if err := m.check(); err != nil {
+		return nil, fmt.Errorf("row of node %q: %w", node, err)
 	}
 	return m, nil
 }
 
-// View holds the members at the newest known versions of their rows. After the store has
+func (m *Member) check() error {
+	if m.DataCentre == "" {
+		return errors.New("no data centre")
+	}
+	address, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		return fmt.Errorf("address: %w", err)
+	}
+	if address.Port() == 0 {
+		return fmt.Errorf("address %q has no port", m.Address)
+	}
+	return m.Backend.check()
+}
+
+func (b *Backend) check() error {
+	switch {
+	case b.ID == "":
+		return nil // the node has no backend server yet
+	case b.Service == "":
+		return errors.New("backend server has no service")
+	case b.State < platform.Ready || b.State > platform.Gone:
+		return fmt.Errorf("backend server has the unknown state %d", b.State)
+	case b.Slots < 0 || b.Slots > maxSlots:
+		return fmt.Errorf("backend server has %d slots", b.Slots)
+	case b.Born < 0 || b.Born > maxBorn:
+		return fmt.Errorf("backend server has the start time %d", b.Born)
+	case b.ColdMS < 0 || b.ColdMS > maxCold.Milliseconds():
+		return fmt.Errorf("backend server is cold for %d ms", b.ColdMS)
+	}
+	return nil
+}
+
+// View holds the members at the newest known versions of their rows. A row that cannot be
+// decoded leaves the member known before: its node writes it again. After the store has
 // come back from an older copy, the members known before are kept for a while, until
 // their nodes have written their rows again. It is not safe for concurrent use.
 type View struct {
-	members  map[string]*Member
-	versions map[string]uint64
-	kept     map[string]*Member // from before the store came back; takes precedence
+	members map[string]*Member
+	rows    map[string]rowState // newest known, by node
+	kept    map[string]*Member  // from before the store came back; takes precedence
+}
+
+// rowState describes the newest known row of a node.
+type rowState struct {
+	version    uint64
+	unreadable bool // it cannot be decoded
+	deleted    bool
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{members: map[string]*Member{}, versions: map[string]uint64{}}
+	return &View{members: map[string]*Member{}, rows: map[string]rowState{}}
 }
 
 // ReplaceByCopy replaces the rows by those of a store that has come back from an older
@@ -102,7 +154,7 @@
 	for _, m := range v.Members() {
 		kept[m.Node] = m
 	}
-	clear(v.versions) // of the earlier era
+	clear(v.rows) // of the earlier era
 	errs := v.Replace(rows)
 	v.kept = kept
 	return errs
@@ -117,12 +169,15 @@
 }
 
 // Replace replaces the view by all rows of the table. It returns the errors of rows that
-// cannot be decoded; the view has no member for them.
+// cannot be decoded.
 func (v *View) Replace(rows []platform.Row) []error {
-	previous := v.versions
-	v.members, v.versions = map[string]*Member{}, map[string]uint64{}
+	previous, members := v.rows, v.members
+	v.members, v.rows = map[string]*Member{}, map[string]rowState{}
 	for _, r := range rows {
-		if r.Version == previous[r.Key] && v.kept[r.Key] != nil {
+		if m := members[r.Key]; m != nil && !r.Deleted {
+			v.members[r.Key] = m
+		}
+		if r.Version == previous[r.Key].version && v.kept[r.Key] != nil {
 			continue
 		}
 		delete(v.kept, r.Key)
@@ -131,11 +186,10 @@
 }
 
 // Apply updates the view with changed rows and ignores rows that are older than the
-// known ones. It returns the errors of rows that cannot be decoded; their members are
-// removed.
+// known ones. It returns the errors of rows that cannot be decoded.
 func (v *View) Apply(rows []platform.Row) []error {
 	for _, r := range rows {
-		if r.Version > v.versions[r.Key] {
+		if r.Version > v.rows[r.Key].version {
 			delete(v.kept, r.Key)
 		}
 	}
@@ -145,17 +199,17 @@
 func (v *View) apply(rows []platform.Row) []error {
 	var errs []error
 	for _, r := range rows {
-		if r.Version < v.versions[r.Key] {
+		if r.Version < v.rows[r.Key].version {
 			continue
 		}
-		v.versions[r.Key] = r.Version
+		v.rows[r.Key] = rowState{version: r.Version, deleted: r.Deleted}
 		if r.Deleted {
 			delete(v.members, r.Key)
 			continue
 		}
 		m, err := Decode(r.Key, r.Value)
 		if err != nil {
-			delete(v.members, r.Key)
+			v.rows[r.Key] = rowState{version: r.Version, unreadable: true}
 			errs = append(errs, err)
 			continue
 		}
@@ -164,11 +218,21 @@
 	return errs
 }
 
-// Member returns a node's row as the store has it and its version. The row is nil if the
-// node has none or if it could not be decoded. The version is zero if the view has
-// received no row of the node.
-func (v *View) Member(node string) (*Member, uint64) {
-	return v.members[node], v.versions[node]
+// Row is a node's row as the store has it.
+type Row struct {
+	Member  *Member // nil if there is no row or it cannot be decoded
+	Version uint64  // of the latest change; zero if the view has received none
+	Deleted bool    // the latest change has removed the row
+}
+
+// Row returns a node's row as the store has it.
+func (v *View) Row(node string) Row {
+	state := v.rows[node]
+	row := Row{Member: v.members[node], Version: state.version, Deleted: state.deleted}
+	if state.unreadable {
+		row.Member = nil
+	}
+	return row
 }
 
 // Members returns all members, sorted by node name.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -25,12 +25,12 @@
 	v := NewView()
 	v.Apply([]platform.Row{row(t, "n1", 5, Member{Serving: true})})
 	v.Apply([]platform.Row{row(t, "n1", 4, Member{Serving: false})})
-	if m, version := v.Member("n1"); m == nil || !m.Serving || version != 5 {
-		t.Errorf("got %+v at version %d, want a serving member at version 5", m, version)
+	if r := v.Row("n1"); r.Member == nil || !r.Member.Serving || r.Version != 5 {
+		t.Errorf("got %+v at version %d, want a serving member at version 5", r.Member, r.Version)
 	}
 	v.Apply([]platform.Row{{Key: "n1", Version: 6, Deleted: true}})
-	if m, _ := v.Member("n1"); m != nil {
-		t.Errorf("the member of a deleted row is still in the view: %+v", m)
+	if r := v.Row("n1"); r.Member != nil || !r.Deleted {
+		t.Errorf("the member of a deleted row is still in the view: %+v", r)
 	}
 }
 
@@ -119,8 +119,8 @@
 	check("after n2 is written again", "n1 true; n2 false; n3 true; ")
 	v.Replace([]platform.Row{row(t, "n1", 42, stopping), row(t, "n2", 41, stopping)})
 	check("after n1 is written again", "n1 false; n2 false; n3 true; ")
-	if _, version := v.Member("n3"); version != 0 {
-		t.Errorf("row of n3 has version %d in the store, want none", version)
+	if r := v.Row("n3"); r.Version != 0 {
+		t.Errorf("row of n3 has version %d in the store, want none", r.Version)
 	}
 	v.DropKept()
 	check("at last", "n1 false; n2 false; ")
--- a/internal/sidecar/cold_test.go
+++ b/internal/sidecar/cold_test.go
@@ -32,7 +32,7 @@
 	since := time.Now()
 	c := newColdCluster(t, cold, "stock", "stock", "mill")
 	row := c.nodes[1].node.state.ownRow.Load()
-	if row.member.Backend.ColdMS == 0 {
+	if row.Member.Backend.ColdMS == 0 {
 		t.Error("the row of a node does not tell that its backend server is cold")
 	}
 	stop := c.load("/stock/open/1", 10, c.nodes[2])
@@ -54,7 +54,7 @@
 	})
 	stop()
 	if now := c.nodes[1].node.state.ownRow.Load(); now.revision != row.revision {
-		t.Errorf("the row was written again, now %+v at %v", now.member, now.revision)
+		t.Errorf("the row was written again, now %+v at %v", now.Member, now.revision)
 	}
 }
 
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -68,7 +68,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if own := m.n.state.ownRow.Load(); own != nil && !own.revision.Before(row.revision) {
-			row = storedRow{own.member, own.revision}
+			row = storedRow{own.Member, own.revision}
 		}
 		want := m.desired()
 		if row.member != nil && row.member.Same(want) {
@@ -144,10 +144,10 @@
 // announcement.
 func (m *memberRow) restoreBackend() {
 	own := m.n.state.ownRow.Load()
-	if own == nil || own.member == nil {
+	if own == nil || own.Member == nil {
 		return
 	}
-	b := own.member.Backend
+	b := own.Member.Backend
 	if b.ID == "" || b.Service != m.n.settings.Service {
 		return
 	}
--- a/internal/sidecar/storestate.go
+++ b/internal/sidecar/storestate.go
@@ -76,10 +76,10 @@
 	replication
 }
 
-// ownRow is the node's own row in the fleet table; member is nil if there is none.
+// ownRow is the node's own row in the fleet table.
 type ownRow struct {
-	member   *fleet.Member
-	revision platform.Revision
+	fleet.Row
+	revision platform.Revision // of its latest change
 }
 
 func newStoreState(n *Node) *storeState {
@@ -269,8 +269,8 @@
 func (s *storeState) publishFleet(first bool) {
 	members := s.fleetView.Members()
 	s.members.Store(&members)
-	m, version := s.fleetView.Member(s.n.settings.Node)
-	s.ownRow.Store(&ownRow{member: m, revision: platform.Revision{Era: s.fleetEra, Version: version}})
+	own := s.fleetView.Row(s.n.settings.Node)
+	s.ownRow.Store(&ownRow{Row: own, revision: platform.Revision{Era: s.fleetEra, Version: own.Version}})
 	s.n.balancer.setMembers(time.Now(), members, first)
 	s.n.applyLimits()
 	s.n.member.scheduleUpdate()
