A node whose row another program has removed writes it again

Found by a test of the reports on odd entries. The node expected its row at the version at which it was removed, the store that there is none: each write was a conflict, for ever, and no other node sent it requests (TestRowRemovedByAnother, which waited in vain for 10 s). The version of a removal is an order of changes, not a precondition: the node expects no row after one.

--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -68,7 +68,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if own := m.n.state.ownRow.Load(); own != nil && !own.revision.Before(row.revision) {
-			row = storedRow{own.Member, own.revision}
+			row = storedRow{own.Member, own.revision, own.Deleted}
 		}
 		want := m.desired()
 		if row.member != nil && row.member.Same(want) {
@@ -125,16 +125,21 @@
 type storedRow struct {
 	member   *fleet.Member // nil if there is none or its content is unknown
 	revision platform.Revision
+	deleted  bool // the latest change has removed it
 }
 
 // update writes the row and returns what the store has afterwards.
 func (m *memberRow) update(ctx context.Context, row storedRow, want fleet.Member) (storedRow, error) {
-	revision, err := m.write(ctx, want, row.revision.Version)
+	expected := row.revision.Version
+	if row.deleted {
+		expected = 0
+	}
+	revision, err := m.write(ctx, want, expected)
 	switch {
 	case err == nil:
-		return storedRow{&want, revision}, nil
+		return storedRow{member: &want, revision: revision}, nil
 	case errors.Is(err, platform.ErrConflict):
-		return storedRow{nil, revision}, err
+		return storedRow{revision: revision}, err
 	}
 	return row, err
 }
--- a/internal/sidecar/oddrow_test.go
+++ b/internal/sidecar/oddrow_test.go
@@ -39,3 +39,15 @@
 		t.Errorf("%d members, want 2", n)
 	}
 }
+
+// TestRowRemovedByAnother guards against a node that gets no more requests from others because
+// another program has removed its row.
+func TestRowRemovedByAnother(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	c.store.Remove(fleet.Table, "node-1")
+	c.eventually("the node writes its row again", func() bool { return c.store.Row(fleet.Table, "node-1") != nil })
+	c.waitReady()
+	if r := c.get(c.nodes[0], "/mill/view/1", "key-guild"); !r.served() {
+		t.Errorf("%+v", r)
+	}
+}
