Odd announcements do not hide the backend server

Same class as odd rows: an announcement, or the node's own row, with a start time in the future was taken, and all that the real backend server said afterwards counted as older. Its node sent it nothing until that time (TestStartInTheFuture, which failed).

Change: a start later than a minute from now is ignored; the VM has one clock, which steps by seconds.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -58,10 +58,15 @@
 // Ready reports whether requests may be sent to the backend server.
 func (s *Server) Ready() bool { return s.Known() && s.State == platform.Ready }
 
+// maxClockStep is how far in the future the start of a backend server may lie, whose VM has
+// the same clock: that may have been set back since. One that claims to start later would
+// hide the announcements of the real one.
+const maxClockStep = time.Minute
+
 // Restore sets the state saved by an earlier process of the node, unless a backend server
-// is already known.
-func (s *Server) Restore(a platform.Announcement) {
-	if !s.Known() {
+// is already known or it claims to have started in the future.
+func (s *Server) Restore(now time.Time, a platform.Announcement) {
+	if !s.Known() && a.Born <= now.Add(maxClockStep).UnixMilli() {
 		s.Announcement = a
 	}
 }
@@ -72,6 +77,9 @@
 	if a.State == platform.Gone {
 		return s.applyGone(now, a)
 	}
+	if a.Born > now.Add(maxClockStep).UnixMilli() {
+		return false
+	}
 	switch {
 	case !s.Known() || a.Born > s.Born:
 		s.announceCold(now, a.ColdRemaining, s.Known())
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -88,7 +88,7 @@
 // that state.
 func TestRestoreYields(t *testing.T) {
 	var s Server
-	s.Restore(announce("a", 1, 0, platform.Draining))
+	s.Restore(time.Unix(1, 0), announce("a", 1, 0, platform.Draining))
 	if s.Ready() {
 		t.Error("ready although the restored state is draining")
 	}
@@ -101,3 +101,24 @@
 		t.Error("the next incarnation is not ready")
 	}
 }
+
+// TestStartInTheFuture guards against ignoring a backend server because another program has
+// announced one that starts later, or has written it to the row of the node.
+func TestStartInTheFuture(t *testing.T) {
+	now := time.UnixMilli(1_796_364_453_000)
+	odd := announce("i-odd", now.Add(time.Hour).UnixMilli(), 1, platform.Ready)
+	good := announce("i-1", now.Add(5*time.Second).UnixMilli(), 1, platform.Ready)
+	for name, apply := range map[string]func(s *Server){
+		"announced": func(s *Server) { s.Apply(now, odd) },
+		"restored":  func(s *Server) { s.Restore(now, odd) },
+	} {
+		var s Server
+		apply(&s)
+		if s.Known() {
+			t.Errorf("%s: %s is accepted", name, s.ID)
+		}
+		if !s.Apply(now, good) || s.ID != "i-1" {
+			t.Errorf("%s: the real backend server is not accepted", name)
+		}
+	}
+}
--- a/internal/backend/condition_test.go
+++ b/internal/backend/condition_test.go
@@ -56,7 +56,7 @@
 func TestRateLimitFromOtherNodes(t *testing.T) {
 	now := time.Unix(100, 0)
 	var s Server
-	s.Restore(platform.Announcement{ID: "i-1", State: platform.Ready, Slots: 4, Born: 7})
+	s.Restore(now, platform.Announcement{ID: "i-1", State: platform.Ready, Slots: 4, Born: 7})
 	own := s.Incarnation()
 	if s.AdoptRateLimit(now, Incarnation{"i-1", 6}, 3) || s.RateLimitKnown() {
 		t.Error("took the limit of an earlier incarnation")
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -70,7 +70,7 @@
 // restore sets the state of the backend server that an earlier process has stored.
 func (g *guard) restore(a platform.Announcement) {
 	g.mu.Lock()
-	g.server.Restore(a)
+	g.server.Restore(time.Now(), a)
 	slots := g.server.Slots
 	g.mu.Unlock()
 	g.queue.setSlots(slots)
