A refusal counts only for the request that it was made for

Report of other operators: a faulty backend server writes an earlier refusal once more on a kept connection. Here callers were told "not run, try again" for requests that were running, or such a request went to a second backend server, in three cases:

- the copy has no request ID: it was taken as the answer to the next request on the connection;
- it has one, and the same request is sent on that connection again, after other backend servers have rejected it too;
- a late response to a request was taken as that to a health check, and its Cold-Ms believed.

Cause: a response was attributed by its place on the connection wherever its ID did not contradict that. A place tells nothing once an earlier exchange may have left more to come.

Change: a refusal without an ID counts on a connection's first exchange only, and the connection is not used again; on a kept connection it is a failed exchange that may have run. A request is not sent again on a connection on which it was refused. A health check takes only responses that name no request. TestRefusalTwice, TestRefusalWithoutIDOnKeptConnection and TestHealthResponseOfRequest failed before.

--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -64,6 +65,10 @@
 	lastUsed        time.Time     // end of the last exchange
 	peerIdleTimeout time.Duration // idle timeout announced by the peer; zero if it announced none
 	reused          bool          // the present exchange is not the first
+	// refusedIDs are the IDs of the requests that were refused on the connection. A copy of such
+	// a refusal may still arrive, so the same request is not sent on it again.
+	refusedIDs []string
+	ambiguous  bool // what arrives next may be a copy that names no request
 
 	mu        sync.Mutex
 	deadline  time.Time // of the current exchange; zero if it has none
@@ -88,6 +93,19 @@
 	c.SetDeadline(d)
 }
 
+// maxRefusedIDs bounds conn.refusedIDs. The connection is not reused after as many refusals.
+const maxRefusedIDs = 16
+
+// refused records that the peer has refused a request without running it. named is false if
+// the refusal does not name the request.
+func (c *conn) refused(id string, named bool) {
+	c.refusedIDs = append(c.refusedIDs, id)
+	c.ambiguous = c.ambiguous || !named || len(c.refusedIDs) >= maxRefusedIDs
+}
+
+// hasRefused reports whether the peer has refused the request on this connection before.
+func (c *conn) hasRefused(id string) bool { return id != "" && slices.Contains(c.refusedIDs, id) }
+
 // cancel makes the current exchange fail.
 func (c *conn) cancel() {
 	c.mu.Lock()
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -37,6 +37,10 @@
 // errBadResponse is returned if no response to the request was received.
 var errBadResponse = errors.New("received no response, a protocol switch, or only responses to other requests")
 
+// errUnattributed is returned if a statement that a request has not run names no request and
+// may be a copy of one on an earlier request.
+var errUnattributed = errors.New("refusal without a request ID on a connection that was used before")
+
 // errResponseTooLarge is returned if a response body without a stated length exceeds
 // maxUnknownLength.
 var errResponseTooLarge = errors.New("response body of unknown length exceeds the size limit")
@@ -65,7 +69,7 @@
 	addr    string
 	call    *Call
 	header  http.Header
-	checkID bool // verify that the response carries the call's ID
+	checkID bool // verify that the response carries the call's ID, or none if the call has none
 	// accept checks the status and header of the response before its body is read,
 	// and may change them. After an error the exchange has failed and its connection
 	// is closed, since what follows on it belongs to no request. It may be nil.
@@ -119,7 +123,7 @@
 		resp.Rest = &streamedBody{Reader: resp.Rest, conn: c}
 		return resp, nil
 	}
-	if e == nil && keep {
+	if e == nil && keep && !c.ambiguous {
 		p.put(x.addr, c)
 	} else {
 		_ = c.Close() // the connection may hold unread or unsent data
@@ -259,14 +263,21 @@
 			}
 			continue
 		}
-		if x.checkID && x.call.ID != "" {
-			if id := platform.ReadResponseHeader(httpResp.StatusCode, httpResp.Header).ID; id != "" && id != x.call.ID {
+		if x.checkID {
+			rh := platform.ReadResponseHeader(httpResp.StatusCode, httpResp.Header)
+			if rh.ID != "" && rh.ID != x.call.ID {
 				keep = false
 				if !discardBody(httpResp) {
 					return nil, false, errBadResponse
 				}
 				continue
 			}
+			if rh.NotRun {
+				if rh.ID == "" && x.call.ID != "" && c.reused {
+					return nil, false, errUnattributed
+				}
+				c.refused(x.call.ID, rh.ID != "")
+			}
 		}
 		return c.readBody(x, httpResp, keep)
 	}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -83,17 +83,18 @@
 	if len(list) == 0 || x.choice == connNew {
 		return nil
 	}
+	i := len(list) - 1
 	if x.choice == connOldest {
-		c := list[0]
-		p.idle[x.addr] = slices.Delete(list, 0, 1)
-		return c
+		i = 0
 	}
-	c := list[len(list)-1]
-	if x.choice == connRecent && now.Sub(c.lastUsed) > maxIdleNonIdempotent {
+	for i > 0 && list[i].hasRefused(x.call.ID) {
+		i--
+	}
+	c := list[i]
+	if c.hasRefused(x.call.ID) || x.choice == connRecent && now.Sub(c.lastUsed) > maxIdleNonIdempotent {
 		return nil
 	}
-	list[len(list)-1] = nil
-	p.idle[x.addr] = list[:len(list)-1]
+	p.idle[x.addr] = slices.Delete(list, i, i+1)
 	return c
 }
 
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -94,7 +94,7 @@
 func (p *Pool) CheckHealth(ctx context.Context, addr, path string) (platform.Health, error) {
 	var health platform.Health
 	c := &Call{Method: http.MethodGet, URI: path, Host: addr}
-	resp, err := p.do(ctx, exchange{addr: addr, call: c, header: http.Header{}, accept: func(resp *Response) (err error) {
+	resp, err := p.do(ctx, exchange{addr: addr, call: c, header: http.Header{}, checkID: true, accept: func(resp *Response) (err error) {
 		health, err = platform.ReadHealth(resp.Header)
 		return err
 	}})
