Logs and metrics tell a caller that has left from a deadline that has passed

A call that ended because its caller had left was logged as lost or as past its deadline, at both nodes, so the logs could not tell where a call was when its caller left, nor whether it waited there or was read late.

event=caller_left and teaselseam_callers_left_total name the stage (at an attempt, waiting, running) with the time that the call waited and ran: a call that has waited speaks for the second hypothesis of the incident, one that has run for some 0.1 ms for the first. event=delay and teaselseam_scheduling_delay_seconds tell a process that is behind with everything.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -34,6 +34,10 @@
 	bodyWriteGrace = 100 * time.Millisecond
 )
 
+// ErrCallerLeft is the cause of failure if the caller of a request has closed its connection
+// and the context has not ended yet.
+var ErrCallerLeft = errors.New("caller has left")
+
 // errBadResponse is returned if no response to the request was received.
 var errBadResponse = errors.New("received no response, a protocol switch, or only responses to other requests")
 
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -64,7 +64,7 @@
 	ReasonPeerLost       Reason = "peer_lost"
 	ReasonNodeStale      Reason = "node_stale"
 	ReasonQuarantined    Reason = "quarantined"
-	ReasonCancelled      Reason = "cancelled"
+	ReasonCallerLeft     Reason = "caller_left" // nothing is done for it any more
 )
 
 // Refusal is the final response to a request that a node rejects or cannot complete.
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -142,7 +142,7 @@
 		n.state.applyPeerFreshness(*resp.Config, sinceBoot)
 	}
 	if err != nil {
-		return n.peerFailed(ep, c, err, took)
+		return n.peerFailed(ctx, ep, c, err, took)
 	}
 	if resp.Backend != nil {
 		n.balancer.applyBackendState(ep.backend.ID, resp.Backend)
@@ -175,16 +175,20 @@
 }
 
 // peerFailed records a failed attempt and returns the response to use for it.
-func (n *Node) peerFailed(ep endpoint, c *hop.Call, err *hop.Error, took time.Duration) *hop.Response {
+func (n *Node) peerFailed(ctx context.Context, ep endpoint, c *hop.Call, err *hop.Error, took time.Duration) *hop.Response {
 	kind := routing.Failed
 	reason := request.ReasonPeerLost
 	if err.ContextDone {
-		kind, reason = routing.Cancelled, request.ReasonDeadline
+		kind, reason = routing.Cancelled, endReason(ctx, err)
 	}
 	n.histograms.attempts.Observe(c.Service, resultLabels[kind], took)
 	n.balancer.recordResult(c.Service, ep.id, routing.Result{Kind: kind, Latency: took, NoResponse: true, Cost: ep.cost})
-	n.requestLog.Warn("no answer from a node", "event", "peer_lost", "id", c.ID, "route", c.Route, "peer", ep.address,
-		"sent", err.Sent, "took", took, "err", err.Err)
+	if reason == request.ReasonCallerLeft {
+		n.recordCallerLeft(c, stageAttempt, "peer", ep.address, "sent", err.Sent, "took", took)
+	} else {
+		n.requestLog.Warn("no answer from a node", "event", "peer_lost", "id", c.ID, "route", c.Route, "peer", ep.address,
+			"sent", err.Sent, "took", took, "err", err.Err)
+	}
 	if err.Sent {
 		return hop.MayHaveRun(reason)
 	}
@@ -199,7 +203,7 @@
 		return routing.Completed
 	case resp.Refusal == nil:
 		return routing.Failed
-	case resp.Refusal.Reason == request.ReasonDeadline:
+	case resp.Refusal.Reason == request.ReasonDeadline, resp.Refusal.Reason == request.ReasonCallerLeft:
 		return routing.Cancelled
 	case resp.Refusal.Reason == request.ReasonElsewhere:
 		return routing.Elsewhere
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -166,6 +166,9 @@
 	if refusal != nil {
 		g.n.histograms.queueWaits.Observe(c.Route, "refused", waited)
 		finish(false)
+		if refusal.Reason == request.ReasonCallerLeft {
+			g.n.recordCallerLeft(c, stageWaiting, "waited", waited)
+		}
 		if _, _, resp := g.backendAddress(c); resp != nil {
 			return resp // the reason why the queue was emptied
 		}
@@ -197,6 +200,9 @@
 	}
 	g.n.histograms.runs.Observe(c.Route, resultLabels[resultKind(resp)], ran)
 	g.logSlow(c, waited, ran)
+	if callerLeft(ctx) {
+		g.n.recordCallerLeft(c, stageRunning, "waited", waited, "ran", ran)
+	}
 	resp.DownstreamFailed = resp.Refusal == nil && resp.Status >= 500 && g.lastCallFailure.Load() > int64(started)
 	finish(resp.Refusal == nil)
 	return resp
@@ -234,12 +240,12 @@
 	if !c.Idempotent {
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(responseGracePeriod))
-	resp, err := g.pool.SendToBackend(ctx, addr, c)
+	exchange, cancel := context.WithDeadline(ctx, c.Deadline.Add(responseGracePeriod))
+	resp, err := g.pool.SendToBackend(exchange, addr, c)
 	cancelOnClose(resp, cancel)
 	switch {
 	case err != nil:
-		return g.backendFailed(addr, incarnation, c, err), dispatch.Failed
+		return g.backendFailed(ctx, addr, incarnation, c, err), dispatch.Failed
 	case resp.Refusal != nil && isFull(resp.ReportedLoad):
 		if resp.ReportedLoad == nil {
 			resp.Refusal.Reason = rejectedReason(resp.Refusal.Reason)
@@ -275,13 +281,15 @@
 
 // backendFailed records a failed exchange with the backend server and returns the
 // response to use.
-func (g *guard) backendFailed(addr string, incarnation backend.Incarnation, c *hop.Call, err *hop.Error) *hop.Response {
+func (g *guard) backendFailed(ctx context.Context, addr string, incarnation backend.Incarnation, c *hop.Call, err *hop.Error) *hop.Response {
 	reason := request.ReasonBackendLost
 	if err.ContextDone {
-		reason = request.ReasonDeadline
+		reason = endReason(ctx, err)
+	}
+	if reason != request.ReasonCallerLeft { // which admit records
+		g.n.requestLog.Warn("no answer from the backend server", "event", "backend_lost", "id", c.ID, "route", c.Route,
+			"peer", addr, "sent", err.Sent, "reason", string(reason), "err", err.Err)
 	}
-	g.n.requestLog.Warn("no answer from the backend server", "event", "backend_lost", "id", c.ID, "route", c.Route,
-		"peer", addr, "sent", err.Sent, "reason", string(reason), "err", err.Err)
 	if err.Sent {
 		if !err.ContextDone {
 			g.checkCrashed(addr, incarnation)
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -40,11 +40,11 @@
 	if n.balancer.isLocal(ep) {
 		return n.attempt(ctx, ep, c, isRetry), false
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	m := n.monitorAttempt(c, ep, mayAbandon, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	m := n.monitorAttempt(c, ep, mayAbandon, func() { cancel(errAbandoned) })
 	resp = n.attempt(ctx, ep, c, isRetry)
 	abandoned = m.end()
-	cancelOnClose(resp, cancel)
+	cancelOnClose(resp, func() { cancel(nil) })
 	if fromBackend(resp) && resp.Rest == nil {
 		return resp, false // the response arrived just before the exchange was cancelled
 	}
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -100,7 +100,7 @@
 		}
 		q.mu.Lock()
 		defer q.mu.Unlock()
-		return q.refusal(request.ReasonDeadline)
+		return q.refusal(endReason(ctx, nil))
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -92,6 +92,7 @@
 	closing        atomic.Bool     // new requests are refused
 	acceptUntil    atomic.Int64    // time since startedAt until which a stopping node accepts callers' requests
 	activeRequests atomic.Int64    // requests of callers and of the backend server in progress
+	delay          atomic.Int64    // see recordDelay, in nanoseconds
 	ahead          *ahead.Listener // for callers
 	servers        []*server
 }
@@ -212,6 +213,18 @@
 	return err
 }
 
+// minLoggedDelay is the delay of the process from which it is logged.
+const minLoggedDelay = 100 * time.Millisecond
+
+// recordDelay records how late a timer has fired, by which the process was behind at that
+// moment with all else that had arrived.
+func (n *Node) recordDelay(d time.Duration) {
+	n.delay.Store(int64(d))
+	if d >= minLoggedDelay {
+		n.log.Warn("process is behind", "event", "delay", "delay", d, "active", n.activeRequests.Load())
+	}
+}
+
 // sweep periodically closes idle connections and drops expired crash records.
 func (n *Node) sweep(ctx context.Context) error {
 	t := time.NewTicker(sweepInterval)
@@ -220,7 +233,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case now := <-t.C:
+		case now := <-t.C: // when it was due
+			n.recordDelay(time.Since(now))
 			n.peers.Sweep(now)
 			n.guard.pool.Sweep(now)
 			n.crashes.expire()
