A budget of sockets: nodes accept and refuse requests also when they have many connections open

Cause: the nodes beside one service used up their descriptors.

Dials leave a tenth for accepting; a dial or an accept without room closes the connection that has been idle for longest; from 70 % on, nodes close connections behind their responses to other nodes. A call for which no socket is left is refused with overload, not_run and a time to return; it counts as no failure of the peer, the backend server, its liveness or a crash. event=sockets, teaselseam_sockets, teaselseam_sockets_full.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/sockets"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
@@ -58,6 +59,8 @@
 	// ContextDone is true if the deadline passed or the caller cancelled the request.
 	// It is also set if the connection's deadline fires slightly before the context's.
 	ContextDone bool
+	// NoSocket is true if this process has no socket left, which tells nothing about the peer.
+	NoSocket bool
 	// ReuseFailed is true if nothing was received on a connection that had been used
 	// before: it may have been lost while the peer is well.
 	ReuseFailed bool
@@ -108,7 +111,10 @@
 func (p *Pool) do(ctx context.Context, x exchange) (*Response, *Error) {
 	c, err := p.get(ctx, x)
 	if err != nil {
-		return nil, &Error{Err: err, ConnRefused: errors.Is(err, syscall.ECONNREFUSED), ContextDone: ctx.Err() != nil}
+		return nil, &Error{
+			Err: err, ConnRefused: errors.Is(err, syscall.ECONNREFUSED), NoSocket: errors.Is(err, sockets.ErrNone),
+			ContextDone: ctx.Err() != nil,
+		}
 	}
 	began := time.Now()
 	stop := context.AfterFunc(ctx, c.cancel)
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/teaselseam/teaselseam/internal/sockets"
 )
 
 // maxIdleNonIdempotent is how long a connection may have been idle to be reused for a
@@ -18,6 +21,7 @@
 type Pool struct {
 	dialer  net.Dialer
 	maxIdle time.Duration // connections idle for longer are closed
+	sockets *sockets.Budget
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address; most recently used last
@@ -33,9 +37,11 @@
 
 // NewPool returns a pool that closes connections once they were idle for maxIdle,
 // which must be shorter than the peers' idle timeout.
-func NewPool(dialTimeout, maxIdle time.Duration) *Pool {
-	p := &Pool{maxIdle: maxIdle, idle: map[string][]*conn{}, lastOpened: map[string]time.Time{}}
+// Its connections count towards the budget.
+func NewPool(dialTimeout, maxIdle time.Duration, budget *sockets.Budget) *Pool {
+	p := &Pool{maxIdle: maxIdle, sockets: budget, idle: map[string][]*conn{}, lastOpened: map[string]time.Time{}}
 	p.dialer = *NewDialer(dialTimeout)
+	budget.AddPool(p)
 	return p
 }
 
@@ -54,7 +60,7 @@
 		}
 		_ = c.Close() // expired, closed by the peer, or with unexpected data
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", x.addr)
+	nc, err := p.dial(ctx, x.addr)
 	if err != nil {
 		return nil, err
 	}
@@ -73,6 +79,59 @@
 	return c, nil
 }
 
+// dial opens a connection, unless no socket is left.
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	var err error
+	for range 2 { // want of descriptors closes an idle connection
+		if err = p.sockets.Reserve(); err != nil {
+			return nil, err
+		}
+		var nc net.Conn
+		if nc, err = p.dialer.DialContext(ctx, "tcp", addr); err == nil {
+			return p.sockets.Counted(nc), nil
+		}
+		if err = p.sockets.Failed(err); !errors.Is(err, sockets.ErrNone) {
+			break
+		}
+	}
+	return nil, err
+}
+
+// OldestIdle implements sockets.Pool.
+func (p *Pool) OldestIdle() (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addr := p.oldestIdle()
+	if addr == "" {
+		return time.Time{}, false
+	}
+	return p.idle[addr][0].lastUsed, true
+}
+
+// CloseOldestIdle implements sockets.Pool.
+func (p *Pool) CloseOldestIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addr := p.oldestIdle()
+	if addr == "" {
+		return false
+	}
+	_ = p.idle[addr][0].Close() // idle, so nothing can be lost
+	p.idle[addr] = slices.Delete(p.idle[addr], 0, 1)
+	return true
+}
+
+// oldestIdle returns the address of the connection that has been idle for longest; empty if
+// there is none. The caller holds mu.
+func (p *Pool) oldestIdle() (oldest string) {
+	for addr, list := range p.idle {
+		if len(list) > 0 && (oldest == "" || list[0].lastUsed.Before(p.idle[oldest][0].lastUsed)) {
+			oldest = addr
+		}
+	}
+	return oldest
+}
+
 // take removes and returns the most recently used idle connection, which is the least
 // likely to have been closed by the peer, or the least recently used one; nil if there is
 // none for the exchange.
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/internal/sockets"
 )
 
 // scriptedServer is a test server that handles each request with the next script of
@@ -89,7 +90,7 @@
 	return p.SendToBackend(ctx, addr, c)
 }
 
-func newTestPool() *Pool { return NewPool(time.Second, time.Minute) }
+func newTestPool() *Pool { return NewPool(time.Second, time.Minute, sockets.New(0)) }
 
 // TestBadAnswers guards against accepting a response that is truncated, malformed or
 // not from the backend server itself, and against reusing its connection.
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -180,6 +180,8 @@
 	reason := request.ReasonPeerLost
 	if err.ContextDone {
 		kind, reason = routing.Cancelled, endReason(ctx, err)
+	} else if err.NoSocket {
+		kind, reason = routing.Cancelled, request.ReasonOverload
 	}
 	n.histograms.attempts.Observe(c.Service, resultLabels[kind], took)
 	n.balancer.recordResult(c.Service, ep.id, routing.Result{Kind: kind, Latency: took, NoResponse: true, Cost: ep.cost})
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -12,6 +12,7 @@
 	"github.com/teaselseam/teaselseam/internal/dispatch"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/internal/sockets"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
@@ -47,7 +48,7 @@
 }
 
 func newGuard(n *Node) *guard {
-	g := &guard{n: n, log: n.log, pool: hop.NewPool(backendDialTimeout, defaultBackendIdleTimeout), queue: newBackendQueue(), startedAt: time.Now()}
+	g := &guard{n: n, log: n.log, pool: hop.NewPool(backendDialTimeout, defaultBackendIdleTimeout, n.sockets), queue: newBackendQueue(), startedAt: time.Now()}
 	g.server.AssumeCold(g.startedAt)
 	return g
 }
@@ -113,7 +114,7 @@
 		hop.WriteToNode(w, hop.Refused(request.ReasonBadRequest, 0))
 		return
 	}
-	if g.n.stopping.Load() {
+	if g.n.stopping.Load() || g.n.sockets.Scarce() {
 		w.Header()["Connection"] = []string{"close"}
 	}
 	resp := g.handle(r.Context(), c)
@@ -296,6 +297,11 @@
 		}
 		return hop.MayHaveRun(reason)
 	}
+	if err.NoSocket { // which tells nothing about the backend server
+		resp := hop.Refused(request.ReasonOverload, shortRetryAfter)
+		resp.RetryElsewhere = true
+		return resp
+	}
 	if !err.ConnRefused {
 		g.mu.Lock()
 		g.unreachableUntil = time.Now().Add(unreachablePause)
@@ -318,6 +324,9 @@
 		_ = conn.Close() // only the result of the dial matters
 		return
 	}
+	if sockets.Exhausted(err) {
+		return
+	}
 	g.pool.CloseIdle(addr)
 	g.backendDown(incarnation)
 	g.recordCrash(err)
--- a/internal/sidecar/liveness.go
+++ b/internal/sidecar/liveness.go
@@ -79,6 +79,9 @@
 		path += "?" + livenessCall + "=" + url.QueryEscape(id)
 	}
 	resp, lost, callErr := n.peers.Probe(ctx, address, path)
+	if callErr != nil && callErr.NoSocket {
+		return true, nil // nothing is known, so nothing changes
+	}
 	if callErr != nil {
 		return false, callErr
 	}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -71,6 +71,8 @@
 	gauge("teaselseam_members", func() float64 { return float64(len(*n.state.members.Load())) })
 	gauge("teaselseam_evacuated_data_centres", func() float64 { return float64(len(*n.state.evacuated.Load())) })
 	gauge("teaselseam_scheduling_delay_seconds", func() float64 { return time.Duration(n.delay.Load()).Seconds() })
+	gauge("teaselseam_sockets", func() float64 { return float64(n.sockets.Used()) })
+	gauge("teaselseam_sockets_full", func() float64 { return float64(n.sockets.Full()) })
 	gauge("teaselseam_requests_active", func() float64 { return float64(n.activeRequests.Load()) })
 	gauge("teaselseam_backend_running", func() float64 { return float64(n.guard.status().Running) })
 	gauge("teaselseam_backend_waiting", func() float64 { return float64(n.guard.status().Waiting) })
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -14,6 +14,7 @@
 func (n *Node) Reload(next *platform.Settings) (pending []string) {
 	pending = restartSettings(n.settings, next)
 	n.bounds.Store(&next.Bounds)
+	n.sockets.SetLimit(next.Sockets)
 	if old := n.storeAddress.Swap(&next.StoreAddress); *old != next.StoreAddress {
 		n.store.SetAddress(next.StoreAddress)
 		n.store.CloseIdle()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,6 +34,7 @@
 	"github.com/teaselseam/teaselseam/internal/ahead"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/obs"
+	"github.com/teaselseam/teaselseam/internal/sockets"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
@@ -81,6 +82,7 @@
 	tokens         *tokens
 	member         *memberRow
 	crashes        *crashTracker
+	sockets        *sockets.Budget
 	peers          *hop.Pool
 	retryBudgets   retryBudgets
 	responseTimes  responseTimes
@@ -110,8 +112,9 @@
 		incarnation: uuid.Must(uuid.NewV7()).String(),
 		store:       platform.NewStore(s.StoreAddress, hop.NewDialer(storeDialTimeout)),
 		metrics:     obs.NewMetrics(),
-		peers:       hop.NewPool(peerDialTimeout, peerIdleTimeout),
+		sockets:     sockets.New(s.Sockets),
 	}
+	n.peers = hop.NewPool(peerDialTimeout, peerIdleTimeout, n.sockets)
 	n.bounds.Store(&s.Bounds)
 	n.storeAddress.Store(&s.StoreAddress)
 	n.pendingSettings.Store(&[]string{})
@@ -158,7 +161,7 @@
 		if err != nil {
 			return oops.With("step", "listen", "for", x.name, "address", x.address).Wrap(err)
 		}
-		n.servers = append(n.servers, &server{listener: l, name: x.name, Server: http.Server{
+		n.servers = append(n.servers, &server{listener: n.sockets.Listen(l), name: x.name, Server: http.Server{
 			Handler: x.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout: idleTimeout, WriteTimeout: responseWriteTimeout,
 			ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
@@ -225,16 +228,27 @@
 	}
 }
 
+// recordSockets logs that there was no room for connections since the count was last taken.
+func (n *Node) recordSockets(before uint64) uint64 {
+	full := n.sockets.Full()
+	if full > before {
+		n.log.Warn("no socket was left for connections", "event", "sockets", "times", full-before, "open", n.sockets.Used())
+	}
+	return full
+}
+
 // sweep periodically closes idle connections and drops expired crash records.
 func (n *Node) sweep(ctx context.Context) error {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
+	socketsFull := uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C: // when it was due
 			n.recordDelay(time.Since(now))
+			socketsFull = n.recordSockets(socketsFull)
 			n.peers.Sweep(now)
 			n.guard.pool.Sweep(now)
 			n.crashes.expire()
