A caller that leaves while a connection is being opened does not make the backend server unreachable

Other callers saw 503 no_backend_server for 0.5 s after a caller had left while its call's connection to the backend server was being opened: each failed dial that was not refused by the peer marked the backend server as unreachable, also one that the caller's leaving or the deadline had ended. TestCallerLeavesWhileConnecting failed before.

Change: an exchange that ended with its context says nothing about the backend server; the call is refused as not run.

--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -297,7 +297,10 @@
 		}
 		return hop.MayHaveRun(reason)
 	}
-	if err.NoSocket { // which tells nothing about the backend server
+	switch { // these tell nothing about the backend server
+	case err.ContextDone:
+		return hop.Refused(reason, 0)
+	case err.NoSocket:
 		resp := hop.Refused(request.ReasonOverload, shortRetryAfter)
 		resp.RetryElsewhere = true
 		return resp
@@ -307,9 +310,7 @@
 		g.unreachableUntil = time.Now().Add(unreachablePause)
 		g.mu.Unlock()
 	}
-	if !err.ContextDone {
-		g.backendDown(incarnation)
-	}
+	g.backendDown(incarnation)
 	resp := hop.Refused(request.ReasonNoBackend, 0)
 	resp.RetryElsewhere = true
 	return resp
