A call whose caller has left is not sent

They had been read together with the end of their connection. net/http learns of that end from a goroutine of its own that reads while the handler runs; the handler does not wait for anything, so it goes first and sends the call. The same holds for calls that wait for a slot, and a call whose context had already ended was sent on a kept connection.

Change: hop, through which all calls to nodes and backend servers go, asks the kernel right before it sends one whether the connection of its caller is still open (package presence, poll for POLLRDHUP, which neither reads nor waits), and again after a connection had to be opened. What is not sent has not run, which the refusal says; nothing is retried for it.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/sockets"
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -108,7 +109,12 @@
 
 // do sends a request and returns the response. Up to MaxBufferedBody bytes of the
 // body are buffered; the remainder is streamed through Rest.
+//
+// Nothing is sent once ctx has ended or the caller has left.
 func (p *Pool) do(ctx context.Context, x exchange) (*Response, *Error) {
+	if presence.Left(ctx) {
+		return nil, notWanted(ctx)
+	}
 	c, err := p.get(ctx, x)
 	if err != nil {
 		return nil, &Error{
@@ -116,6 +122,10 @@
 			ContextDone: ctx.Err() != nil,
 		}
 	}
+	if !c.reused && presence.Left(ctx) { // opening the connection took a while
+		_ = c.Close() // never used
+		return nil, notWanted(ctx)
+	}
 	began := time.Now()
 	stop := context.AfterFunc(ctx, c.cancel)
 	resp, keep, e := p.roundTrip(c, x)
@@ -141,6 +151,15 @@
 	return resp, e
 }
 
+// notWanted returns the failure of an exchange that was not begun, because ctx has ended or the
+// caller has left.
+func notWanted(ctx context.Context) *Error {
+	if err := context.Cause(ctx); err != nil {
+		return &Error{Err: err, ContextDone: true}
+	}
+	return &Error{Err: ErrCallerLeft, ContextDone: true}
+}
+
 func (p *Pool) roundTrip(c *conn, x exchange) (*Response, bool, *Error) {
 	written := make(chan error, 1)
 	writing, err := c.send(x, written)
--- /dev/null
+++ b/internal/presence/presence.go
@@ -0,0 +1,60 @@
+// Package presence tells whether the caller of a request still waits for the response.
+//
+// A net/http server learns that a caller has left from a goroutine of its own, which reads from the connection while the
+// handler runs. On a busy node both are runnable at the same time, and a handler that does not wait for anything goes
+// first: requests that were received together with the end of their connection were sent on to backend servers. The
+// server does not read at all while a request body or requests sent ahead stand unread. Left asks the kernel instead,
+// without reading, at the moment at which work for the caller is about to begin.
+package presence
+
+import (
+	"context"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+type connKey struct{}
+
+// WithConn is for http.Server.ConnContext: it stores the connection of the caller for Left.
+// Connections without a file descriptor are ignored.
+func WithConn(ctx context.Context, nc net.Conn) context.Context {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return ctx
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return ctx // already closed, which the server notices by itself
+	}
+	return context.WithValue(ctx, connKey{}, raw)
+}
+
+// Left reports whether the caller of the request with this context has left: the context has
+// ended, or the caller has closed its side of the connection, even if that was not read yet.
+// Without a connection in the context only the context counts.
+func Left(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	raw, ok := ctx.Value(connKey{}).(syscall.RawConn)
+	return ok && Closed(raw)
+}
+
+// Closed reports whether the peer has closed its side of a connection, or this process the
+// connection itself. It neither waits nor reads.
+func Closed(raw syscall.RawConn) bool {
+	closed := false
+	err := raw.Control(func(fd uintptr) { closed = peerClosed(int(fd)) })
+	return err != nil || closed
+}
+
+// peerClosed also finds an end of the stream that stands behind unread bytes.
+func peerClosed(fd int) bool {
+	poll := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	if n, err := unix.Poll(poll[:], 0); err == nil && n > 0 {
+		return poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
+	return false
+}
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -111,7 +111,7 @@
 // mayRetry decides whether the call may be sent to another endpoint after resp, and takes
 // the retry from the account of the service if that is needed.
 func (n *Node) mayRetry(ctx context.Context, c *hop.Call, route *catalog.Route, resp *hop.Response, p *progress) bool {
-	if ctx.Err() != nil || !time.Now().Before(c.Deadline) {
+	if ctx.Err() != nil || !time.Now().Before(c.Deadline) || resp.Refusal != nil && resp.Refusal.Reason == request.ReasonCallerLeft {
 		return false
 	}
 	switch p.Next(retryCall(c, route), retryAttempt(resp)) {
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -38,7 +38,9 @@
 	wrapPeerHandler func(*testNode, http.Handler) http.Handler // wraps the handler for peers
 	// wrapPeerListener wraps the listener for peers.
 	wrapPeerListener func(*testNode, net.Listener) net.Listener
-	storeLink        *silenceable
+	// wrapCallerListener wraps the listener for callers.
+	wrapCallerListener func(*testNode, net.Listener) net.Listener
+	storeLink          *silenceable
 }
 
 type route struct {
@@ -115,9 +117,10 @@
 	c := &cluster{
 		t: t, store: s, storeLink: storeLink, address: strings.TrimPrefix(server.URL, "http://"),
 		keys: map[string]string{"key-guild": "guild"}, rates: map[string]float64{}, slots: 4,
-		adjustSettings:   func(*platform.Settings) {},
-		wrapPeerHandler:  func(_ *testNode, h http.Handler) http.Handler { return h },
-		wrapPeerListener: func(_ *testNode, l net.Listener) net.Listener { return l },
+		adjustSettings:     func(*platform.Settings) {},
+		wrapPeerHandler:    func(_ *testNode, h http.Handler) http.Handler { return h },
+		wrapPeerListener:   func(_ *testNode, l net.Listener) net.Listener { return l },
+		wrapCallerListener: func(_ *testNode, l net.Listener) net.Listener { return l },
 	}
 	for _, service := range services {
 		c.routes = append(c.routes,
@@ -186,6 +189,7 @@
 			s.listener = c.wrapPeerListener(n, s.listener)
 		}
 	}
+	node.ahead.Listener = c.wrapCallerListener(n, node.ahead.Listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.node, n.stop, n.stopped = node, cancel, make(chan error, 1)
 	stopped := n.stopped
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -201,7 +201,10 @@
 	}
 	g.n.histograms.runs.Observe(c.Route, resultLabels[resultKind(resp)], ran)
 	g.logSlow(c, waited, ran)
-	if callerLeft(ctx) {
+	switch {
+	case resp.Refusal != nil && resp.Refusal.Reason == request.ReasonCallerLeft && !resp.ReachedBackend:
+		g.n.recordCallerLeft(c, stageUnsent, "waited", waited, "noticed", callerLeft(ctx))
+	case callerLeft(ctx):
 		g.n.recordCallerLeft(c, stageRunning, "waited", waited, "ran", ran)
 	}
 	resp.DownstreamFailed = resp.Refusal == nil && resp.Status >= 500 && g.lastCallFailure.Load() > int64(started)
--- a/internal/sidecar/left_test.go
+++ b/internal/sidecar/left_test.go
@@ -2,13 +2,130 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/hop"
 )
 
+// busyListener stands for a busy node: connections are accepted after acceptDelay, and the
+// read by which the server watches a running request's connection begins after watchDelay.
+type busyListener struct {
+	net.Listener
+	acceptDelay, watchDelay time.Duration
+}
+
+func (l busyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(l.acceptDelay)
+	return &busyConn{c, l.watchDelay}, nil
+}
+
+type busyConn struct {
+	net.Conn
+	watchDelay time.Duration
+}
+
+func (c *busyConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
+
+func (c *busyConn) Read(p []byte) (int, error) {
+	if len(p) == 1 {
+		time.Sleep(c.watchDelay)
+	}
+	return c.Conn.Read(p)
+}
+
+// sendAndLeave sends a request and closes the connection after a time.
+func (c *cluster) sendAndLeave(n *testNode, method, path string, after time.Duration) (id string) {
+	c.t.Helper()
+	con, err := net.Dial("tcp", n.settings.CallerAddress)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	id = newID()
+	if _, err := fmt.Fprintf(con, "%s %s HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\nAuthorization: Bearer key-guild\r\nContent-Length: 0\r\n\r\n",
+		method, path, id); err != nil {
+		c.t.Fatal(err)
+	}
+	time.Sleep(after)
+	con.Close()
+	return id
+}
+
+// TestRequestReadAfterCallerLeft guards against sending a request to a backend server that a
+// busy node, beside the caller or the backend server, has read only after its caller had left.
+func TestRequestReadAfterCallerLeft(t *testing.T) {
+	for _, busy := range []string{"callers", "peers"} {
+		t.Run(busy, func(t *testing.T) {
+			c := prepareCluster(t, "stock", "mill")
+			wrap := func(_ *testNode, l net.Listener) net.Listener { return busyListener{l, 40 * time.Millisecond, 0} }
+			if busy == "callers" {
+				c.wrapCallerListener = wrap
+			} else {
+				c.wrapPeerListener = wrap
+			}
+			c.start()
+			ran := 0
+			to := map[string]string{"callers": "/stock", "peers": "/mill"}[busy]
+			for i := range 10 {
+				method, path := http.MethodGet, to+"/view/1"
+				if i%2 == 0 {
+					method, path = http.MethodPost, to+"/order/1"
+				}
+				id := c.sendAndLeave(c.nodes[0], method, path, 10*time.Millisecond)
+				time.Sleep(120 * time.Millisecond)
+				if c.ran(id) {
+					ran++
+				}
+			}
+			if ran > 0 {
+				t.Errorf("%d of 10 requests reached the backend server after their callers had left", ran)
+			}
+		})
+	}
+}
+
+// TestWaitingCallAfterCallerLeft guards against sending a call that got a slot to the backend
+// server although its caller left while it waited, which the busy node has not noticed yet.
+func TestWaitingCallAfterCallerLeft(t *testing.T) {
+	c := prepareCluster(t, "stock")
+	c.slots = 1
+	c.wrapCallerListener = func(_ *testNode, l net.Listener) net.Listener { return busyListener{l, 0, 600 * time.Millisecond} }
+	c.start()
+	c.nodes[0].backend.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+		if strings.HasSuffix(r.URL.Path, "long") {
+			time.Sleep(200 * time.Millisecond)
+		}
+		return false
+	})
+	first := make(chan reply, 1)
+	go func() { first <- c.get(c.nodes[0], "/stock/view/long", "key-guild") }()
+	time.Sleep(50 * time.Millisecond)
+	left := []string{
+		c.sendAndLeave(c.nodes[0], http.MethodGet, "/stock/view/1", 10*time.Millisecond),
+		c.sendAndLeave(c.nodes[0], http.MethodPost, "/stock/order/1", 10*time.Millisecond),
+	}
+	if r := <-first; !r.served() {
+		t.Fatalf("%+v", r)
+	}
+	time.Sleep(150 * time.Millisecond)
+	for _, id := range left {
+		if c.ran(id) {
+			t.Errorf("request %s reached the backend server after its caller had left", id)
+		}
+	}
+}
+
 // TestCallerLeavesWhileConnecting guards against refusing other calls for a while because a
 // caller has left while a connection to the backend server was being opened.
 func TestCallerLeavesWhileConnecting(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,6 +34,7 @@
 	"github.com/teaselseam/teaselseam/internal/ahead"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/obs"
+	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/sockets"
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -169,7 +170,11 @@
 	}
 	callers := n.servers[0]
 	n.ahead = &ahead.Listener{Listener: callers.listener}
-	callers.listener, callers.ConnContext, callers.ConnState = n.ahead, n.ahead.ConnContext, n.ahead.ConnState
+	callers.listener, callers.ConnState = n.ahead, n.ahead.ConnState
+	callers.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
+		return presence.WithConn(n.ahead.ConnContext(ctx, nc), nc.(*ahead.Conn).Conn)
+	}
+	n.servers[1].ConnContext = presence.WithConn
 	return nil
 }
 
