Cancelling a call ends it also while a long response is streamed

Change: the exchange watches its context until the body is closed, and a request's context lasts as long as its response. A call that is not idempotent goes on without its caller, as before.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -110,7 +110,9 @@
 // do sends a request and returns the response. Up to MaxBufferedBody bytes of the
 // body are buffered; the remainder is streamed through Rest.
 //
-// Nothing is sent once ctx has ended or the caller has left.
+// Nothing is sent once ctx has ended or the caller has left. If ctx ends later, the exchange
+// fails, and so does the reader of Rest: the connection is closed, by which the peer learns of
+// it.
 func (p *Pool) do(ctx context.Context, x exchange) (*Response, *Error) {
 	if presence.Left(ctx) {
 		return nil, notWanted(ctx)
@@ -136,13 +138,13 @@
 			p.reuseFailed(x.addr, began)
 		}
 	}
-	if !stop() {
-		keep = false
-	}
 	if resp != nil && resp.Rest != nil {
-		resp.Rest = &streamedBody{Reader: resp.Rest, conn: c}
+		resp.Rest = &streamedBody{Reader: resp.Rest, conn: c, stop: stop}
 		return resp, nil
 	}
+	if !stop() {
+		keep = false
+	}
 	if e == nil && keep && !c.ambiguous {
 		p.put(x.addr, c)
 	} else {
@@ -411,6 +413,10 @@
 type streamedBody struct {
 	io.Reader
 	conn *conn
+	stop func() bool // ends the watch of the exchange's context
 }
 
-func (r *streamedBody) Close() error { return r.conn.Close() }
+func (r *streamedBody) Close() error {
+	r.stop()
+	return r.conn.Close()
+}
--- a/internal/hop/left_test.go
+++ b/internal/hop/left_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // TestCallAfterCallerLeft guards against sending a call on a kept connection although its
@@ -40,3 +42,45 @@
 		t.Errorf("%d requests on %d connections reached the backend server, want 2 on 1", n, s.conns.Load())
 	}
 }
+
+// TestStreamAfterCallerLeft guards against holding the connection of a long response whose
+// caller has left while the backend server is silent.
+func TestStreamAfterCallerLeft(t *testing.T) {
+	closed := make(chan struct{})
+	s := serve(t, func(c net.Conn, _ *http.Request) bool {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: x\r\nContent-Length: %d\r\n\r\n", 4*MaxBufferedBody)
+		io.WriteString(c, strings.Repeat("x", 2*MaxBufferedBody))
+		c.Read(make([]byte, 1)) // no more bytes until the connection is closed
+		close(closed)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	resp, err := newTestPool().SendToBackend(ctx, s.addr, newCall("r1", ""))
+	if err != nil || resp.Rest == nil {
+		t.Fatalf("got %+v, %v", resp, err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := io.Copy(io.Discard, resp.Rest)
+		resp.Close()
+		ended <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	cancel()
+	for what, c := range map[string]func() bool{
+		"read of the body":  func() bool { return (<-ended) == nil },
+		"backend's reading": func() bool { <-closed; return false },
+	} {
+		done := make(chan bool, 1)
+		go func() { done <- c() }()
+		select {
+		case whole := <-done:
+			if whole {
+				t.Error("a body that was cut off ended without an error")
+			}
+		case <-time.After(500 * time.Millisecond):
+			t.Errorf("%s goes on after the caller has left", what)
+		}
+	}
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -87,7 +87,14 @@
 		return hop.Refused(request.ReasonDeadline, shortRetryAfter)
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline.Add(returnMargin/2))
-	defer cancel()
+	resp := n.forward(ctx, c, route, ws)
+	cancelOnClose(resp, cancel)
+	return resp
+}
+
+// forward admits or refuses a request or an internal call and returns the response. ctx must
+// not end before a streamed response body is read.
+func (n *Node) forward(ctx context.Context, c *hop.Call, route *catalog.Route, ws *catalog.Workspace) *hop.Response {
 	if c.Workspace == "" {
 		return n.handleInternalCall(ctx, c, route)
 	}
--- a/internal/sidecar/left_test.go
+++ b/internal/sidecar/left_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/standin"
 )
 
 // busyListener stands for a busy node: connections are accepted after acceptDelay, and the
@@ -126,6 +128,34 @@
 	}
 }
 
+// TestLongResponseAfterCallerLeft guards against going on with an idempotent request whose
+// response is being streamed when its caller leaves.
+func TestLongResponseAfterCallerLeft(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	ended := make(chan bool, 1)
+	for _, n := range c.nodes {
+		n.backend.Intercept(func(w http.ResponseWriter, r *http.Request) bool {
+			standin.Sign(w)
+			w.Header().Set("Content-Length", fmt.Sprint(4*hop.MaxBufferedBody))
+			io.WriteString(w, strings.Repeat("x", 2*hop.MaxBufferedBody))
+			w.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+				ended <- true
+			case <-time.After(time.Second):
+				ended <- false
+			}
+			return true
+		})
+	}
+	for _, to := range []string{"stock", "mill"} {
+		c.sendAndLeave(c.nodes[0], http.MethodGet, "/"+to+"/view/1", 100*time.Millisecond)
+		if !<-ended {
+			t.Errorf("the backend server of %s goes on with the request", to)
+		}
+	}
+}
+
 // TestCallerLeavesWhileConnecting guards against refusing other calls for a while because a
 // caller has left while a connection to the backend server was being opened.
 func TestCallerLeavesWhileConnecting(t *testing.T) {
