A caller that leaves is noticed also while nobody reads its connection

The server does not read from a connection while a body stands unread, because the backend server does not take it, or while a caller has sent more than 8 KB of requests ahead: work went on until the deadline (TestUnreadBodyAfterCallerLeft; TestLeavingCaller, "more than is buffered"). The close did not reach such a backend server either: it stood behind the part of the request that it had not taken.

Change: the kernel is asked every 100 ms in these two cases, and a connection is reset if it is closed before the request is written.

--- a/internal/ahead/ahead.go
+++ b/internal/ahead/ahead.go
@@ -22,12 +22,15 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/teaselseam/teaselseam/internal/presence"
 )
 
 const (
 	// maxBytes bounds the buffer of a connection. A caller that has sent more is not read
-	// further until its requests are handled, and its leaving is noticed only then.
+	// further until its requests are handled; the kernel is asked whether it has left.
 	maxBytes = 8 << 10
 	// lingerTime allows for some round trips to callers (3 ms one way) and a retransmission.
 	lingerTime = 300 * time.Millisecond
@@ -101,6 +104,7 @@
 	ended    error // end of the stream
 
 	reader   chan struct{} // closed when reading ahead has ended; nil if it is not running
+	stop     chan struct{} // closed when reading ahead is to end
 	stopping bool          // reading ahead is to end
 	space    []byte        // of maxBytes, once needed; what follows buffered belongs to the reader
 	buffered []byte        // part of space that was read ahead and not taken yet
@@ -153,6 +157,7 @@
 		return
 	}
 	c.stopping = true
+	close(c.stop)
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed, which ends the read too
 	c.mu.Unlock()
 	<-reader
@@ -200,8 +205,8 @@
 	}
 	used := copy(c.space, c.buffered)
 	c.buffered = c.space[:used]
-	c.reader = make(chan struct{})
-	go c.readAhead(c.reader, used)
+	c.reader, c.stop = make(chan struct{}), make(chan struct{})
+	go c.readAhead(c.reader, c.stop, used)
 }
 
 // takeBuffered returns what was read ahead, or the error that ended it.
@@ -221,9 +226,9 @@
 	return n, nil
 }
 
-// readAhead reads until the end of the stream, until the buffer is full, or until
-// stopReading.
-func (c *Conn) readAhead(done chan struct{}, used int) {
+// readAhead reads until the end of the stream, or until stopReading. Once the buffer is full it
+// only watches whether the caller leaves.
+func (c *Conn) readAhead(done chan<- struct{}, stopped <-chan struct{}, used int) {
 	defer close(done)
 	for used < maxBytes {
 		n, err := c.Conn.Read(c.space[used:])
@@ -234,14 +239,38 @@
 		}
 		stop := c.stopping
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.ended, c.buffered = err, nil
-			c.cancel()
+			c.end(err)
 		}
 		c.mu.Unlock()
 		if stop || err != nil {
 			return
 		}
 	}
+	c.watch(stopped)
+}
+
+// end drops the requests that were not begun and ends the contexts of all others. The caller
+// holds mu.
+func (c *Conn) end(err error) {
+	c.ended, c.buffered = err, nil
+	c.cancel()
+}
+
+// watch waits until the caller has left, or until stopReading.
+func (c *Conn) watch(stopped <-chan struct{}) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return // already closed, which the server notices by itself
+	}
+	if presence.Await(raw, stopped) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.end(io.EOF)
+	}
 }
 
 // SetReadDeadline implements net.Conn.
--- a/internal/ahead/ahead_test.go
+++ b/internal/ahead/ahead_test.go
@@ -99,6 +99,7 @@
 		"part of one ahead":      {send: []string{get("a"), get("b")[:9]}, running: "/a", noticed: true, requests: "/a"},
 		"behind a body":          {send: []string{post("a", 3000), get("b")}, running: "/a", noticed: true, requests: "/a"},
 		"during one sent ahead":  {send: []string{get("a"), get("b"), get("c")}, running: "/b", noticed: true, requests: "/a /b"},
+		"more than is buffered":  {send: []string{get("a"), post("b", 3*maxBytes)}, running: "/a", noticed: true, requests: "/a"},
 		"more than net/http has": {send: []string{get("a"), post("b", 1500) + post("c", 1500) + get("d")}, running: "/b", noticed: true, requests: "/a /b"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -114,6 +114,14 @@
 	c.SetDeadline(time.Unix(1, 0))
 }
 
+// dropUnsent makes Close reset the connection. A peer that does not read would otherwise learn
+// of the end only behind the part of the request that it has not taken.
+func (c *conn) dropUnsent() {
+	if tc, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tc.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
 // limitHead bounds the size of the response head that is read next and the time that
 // the rest of it takes.
 func (c *conn) limitHead() {
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -171,6 +171,9 @@
 	}
 	resp, keep, err := c.receive(x)
 	if err != nil {
+		if writing {
+			c.dropUnsent()
+		}
 		return nil, false, &Error{Sent: true, Err: err}
 	}
 	if writing {
@@ -235,6 +238,7 @@
 		err = writeFramed(c.Conn, b)
 	}
 	if err != nil {
+		c.dropUnsent()
 		_ = c.Close() // otherwise the peer would wait for the rest
 	}
 	return err
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -11,14 +11,15 @@
 	"context"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
 type connKey struct{}
 
-// WithConn is for http.Server.ConnContext: it stores the connection of the caller for Left.
-// Connections without a file descriptor are ignored.
+// WithConn is for http.Server.ConnContext: it stores the connection of the caller for Left and
+// Watch. Connections without a file descriptor are ignored.
 func WithConn(ctx context.Context, nc net.Conn) context.Context {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
@@ -58,3 +59,39 @@
 	}
 	return false
 }
+
+// watchInterval is how often Await looks. It is far below the time after which work for a
+// caller that has left counts as lost (500 ms).
+const watchInterval = 100 * time.Millisecond
+
+// Await waits until the peer of a connection has closed its side, and returns true, or until
+// stop is closed. It is for connections from which nobody reads.
+func Await(raw syscall.RawConn, stop <-chan struct{}) (closed bool) {
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return false
+		case <-t.C:
+			if Closed(raw) {
+				return true
+			}
+		}
+	}
+}
+
+// Watch returns a context that ends when ctx does or the caller has left, for a request whose
+// connection nobody reads. The returned function ends the watch.
+func Watch(ctx context.Context) (context.Context, context.CancelFunc) {
+	raw, ok := ctx.Value(connKey{}).(syscall.RawConn)
+	ctx, cancel := context.WithCancel(ctx)
+	if ok {
+		go func() {
+			if Await(raw, ctx.Done()) {
+				cancel()
+			}
+		}()
+	}
+	return ctx, cancel
+}
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -56,6 +56,7 @@
 			go own.Read(make([]byte, 1))
 		}
 		time.Sleep(20 * time.Millisecond)
+		watched, cancel := Watch(ctx)
 		if Left(ctx) {
 			t.Errorf("%s: left although nothing was closed", name)
 		}
@@ -66,6 +67,17 @@
 		if got := Left(ctx); got != x.left {
 			t.Errorf("%s: left %v, want %v", name, got, x.left)
 		}
+		select {
+		case <-watched.Done():
+			if !x.left {
+				t.Errorf("%s: the watch has ended", name)
+			}
+		case <-time.After(2 * watchInterval):
+			if x.left {
+				t.Errorf("%s: the watch goes on", name)
+			}
+		}
+		cancel()
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	if Left(ctx) {
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -11,6 +11,7 @@
 	"github.com/teaselseam/teaselseam/internal/backend"
 	"github.com/teaselseam/teaselseam/internal/dispatch"
 	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/sockets"
 	"github.com/teaselseam/teaselseam/platform"
@@ -117,7 +118,13 @@
 	if g.n.stopping.Load() || g.n.sockets.Scarce() {
 		w.Header()["Connection"] = []string{"close"}
 	}
-	resp := g.handle(r.Context(), c)
+	ctx := r.Context()
+	if c.Body.Rest != nil { // the server does not watch the sending node until it is read
+		var cancel context.CancelFunc
+		ctx, cancel = presence.Watch(ctx)
+		defer cancel()
+	}
+	resp := g.handle(ctx, c)
 	if c.AskConfig {
 		resp.Config = g.n.state.configFreshness()
 	}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -10,6 +10,7 @@
 	"github.com/teaselseam/teaselseam/internal/ahead"
 	"github.com/teaselseam/teaselseam/internal/catalog"
 	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/platform"
 )
@@ -86,9 +87,16 @@
 	if !time.Now().Before(c.Deadline) { // it stood behind another request for too long
 		return hop.Refused(request.ReasonDeadline, shortRetryAfter)
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline.Add(returnMargin/2))
+	ctx, endWatch := r.Context(), func() {}
+	if c.Body.Rest != nil { // the server does not watch the caller until it is read
+		ctx, endWatch = presence.Watch(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(returnMargin/2))
 	resp := n.forward(ctx, c, route, ws)
-	cancelOnClose(resp, cancel)
+	cancelOnClose(resp, func() {
+		cancel()
+		endWatch()
+	})
 	return resp
 }
 
--- a/internal/sidecar/left_test.go
+++ b/internal/sidecar/left_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/standin"
 )
 
@@ -156,6 +157,77 @@
 	}
 }
 
+// TestUnreadBodyAfterCallerLeft guards against going on with an idempotent request whose
+// caller leaves while the backend server does not read the rest of its body, so that the node
+// does not read from the caller either.
+func TestUnreadBodyAfterCallerLeft(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	const size = 32 << 20 // beyond what sockets buffer
+	ended := make(chan bool, 1)
+	c.serveWithoutReading(ended)
+	con, err := net.Dial("tcp", c.nodes[0].settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(con, "PUT /stock/view/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\nAuthorization: Bearer key-guild\r\nTransfer-Encoding: chunked\r\n\r\n", newID())
+	con.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	chunk := strings.Repeat("x", 64<<10)
+	for range size / len(chunk) {
+		if _, err := fmt.Fprintf(con, "%x\r\n%s\r\n", len(chunk), chunk); err != nil {
+			break // nobody reads on
+		}
+	}
+	con.(*net.TCPConn).SetLinger(0) // otherwise the end stands behind what is not read
+	con.Close()
+	if !<-ended {
+		t.Error("the connection to the backend server stays open")
+	}
+}
+
+// serveWithoutReading replaces the backend server of the first node by one that reads the
+// beginning of a request and nothing more. It sends whether the connection was closed within
+// a second after it was full.
+func (c *cluster) serveWithoutReading(ended chan<- bool) {
+	c.t.Helper()
+	n := c.nodes[0]
+	n.killBackend()
+	var l net.Listener
+	c.eventually("the address of the backend server is free", func() (ok bool) {
+		var err error
+		l, err = net.Listen("tcp", n.settings.BackendAddress)
+		return err == nil
+	})
+	c.t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			con, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer con.Close()
+				head := make([]byte, 64)
+				if _, err := io.ReadFull(con, head); err != nil || !strings.HasPrefix(string(head), "PUT") {
+					io.WriteString(con, "HTTP/1.1 200 OK\r\nInstance-Id: "+"i-"+n.settings.Node+"\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+					return
+				}
+				raw, err := con.(syscall.Conn).SyscallConn()
+				if err != nil {
+					ended <- false
+					return
+				}
+				for end := time.Now().Add(1500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					if presence.Closed(raw) {
+						ended <- true
+						return
+					}
+				}
+				ended <- false
+			}()
+		}
+	}()
+}
+
 // TestCallerLeavesWhileConnecting guards against refusing other calls for a while because a
 // caller has left while a connection to the backend server was being opened.
 func TestCallerLeavesWhileConnecting(t *testing.T) {
