A caller that has closed only its side gets a refusal, not an empty success

A caller that closes its side of the connection after its request and still reads got "200 OK" with an empty body, unsigned and framed as whole: when the context had ended, the handler returned without an answer, for which net/http sends an empty success. TestHalfClosedCaller, four cases, failed before.

Change: the refusal is written also then.

--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -48,10 +48,7 @@
 	if n.stopping.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
-	if r.Context().Err() != nil && resp.Refusal != nil {
-		return // the caller has disconnected
-	}
-	if resp.Refusal != nil {
+	if resp.Refusal != nil { // also if the caller has left: without it the server would send an empty success
 		n.writeRefusal(w, r, h.ID, resp.Refusal)
 		return
 	}
--- a/internal/sidecar/left_test.go
+++ b/internal/sidecar/left_test.go
@@ -228,6 +228,33 @@
 	}()
 }
 
+// TestHalfClosedCaller guards against an empty success for a caller that has closed its side of
+// the connection and still reads.
+func TestHalfClosedCaller(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	for _, n := range c.nodes {
+		n.backend.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(time.Second):
+			}
+			return true
+		})
+	}
+	for _, to := range []string{"stock", "mill"} {
+		for _, ahead := range []int{0, 1} {
+			a := c.dialAhead(c.nodes[0])
+			for range 1 + ahead {
+				a.send("/"+to+"/view/1", 3*time.Second)
+			}
+			a.con.(*net.TCPConn).CloseWrite()
+			if r := a.receive(); r.err == nil && r.status < 500 {
+				t.Errorf("%s, %d requests ahead: %+v", to, ahead, r)
+			}
+		}
+	}
+}
+
 // TestCallerLeavesWhileConnecting guards against refusing other calls for a while because a
 // caller has left while a connection to the backend server was being opened.
 func TestCallerLeavesWhileConnecting(t *testing.T) {
