--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// leavingOneIn is the number of requests of which one caller leaves early.
+const leavingOneIn = 20
+
 // callerRequest is one request of a caller with its result.
 type callerRequest struct {
 	id, key, path, body string
@@ -18,7 +21,8 @@
 	node                *node
 	sentAt, endedAt     time.Time
 	deadline            time.Duration
-	status              int // 0 if no complete response arrived
+	leaves              bool // the caller closes the connection early
+	status              int  // 0 if no complete response arrived
 	responseBody        string
 	statedCondition     bool // the response states a rate limit, or that its backend server leaves
 	err                 error
@@ -67,7 +71,11 @@
 	if sent.nonIdempotent {
 		method, sent.body = http.MethodPost, strings.Repeat("strip ", 1+rnd.IntN(2000))
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), sent.deadline)
+	patience := sent.deadline
+	if rnd.IntN(leavingOneIn) == 0 {
+		sent.leaves, patience = true, time.Duration(1+rnd.IntN(100))*time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	// Hides the concrete type of the reader, so that net/http can't rewind the body and
 	// resend the request on its own.
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -21,6 +21,8 @@
 	rateWindow = 5 * time.Second
 	rateExcess = 1.1
 	rateSlack  = 20
+	// leftBound is how long after its caller has left a request may still start.
+	leftBound = 500 * time.Millisecond
 )
 
 // execution is one execution of a request by a backend server.
@@ -56,6 +58,7 @@
 		r.checkResponse(&f, req, executions[req.id])
 		r.checkExecutions(&f, req, executions[req.id])
 		r.checkNoLoss(&f, req, executions[req.id])
+		checkNoneAfterCallerLeft(&f, req, executions[req.id])
 	}
 	for id, execs := range executions {
 		if !sent[id] && !strings.HasPrefix(id, "call-") {
@@ -129,12 +132,22 @@
 // checkNoLoss checks, in a run with planned operations only, that each request that
 // ran at a backend server got a complete response, unless its deadline was reached.
 func (r *run) checkNoLoss(f *findings, req *callerRequest, execs []execution) {
-	if !r.plannedOnly || len(execs) == 0 || req.status != 0 || req.endedAt.Sub(req.sentAt) >= req.deadline-50*time.Millisecond {
+	if !r.plannedOnly || len(execs) == 0 || req.status != 0 || req.leaves || req.endedAt.Sub(req.sentAt) >= req.deadline-50*time.Millisecond {
 		return
 	}
 	f.add("request %s ran but its connection to %s ended without a complete response: %v", req.id, req.node.name, req.err)
 }
 
+// checkNoneAfterCallerLeft checks that a request does not start later than leftBound after its
+// caller has left, unless there was a fault at one of the two nodes.
+func checkNoneAfterCallerLeft(f *findings, req *callerRequest, execs []execution) {
+	for _, x := range execs {
+		if req.leaves && x.Started.After(req.endedAt.Add(leftBound)) && req.node.noFaultBefore(x.Started) && x.node.noFaultBefore(x.Started) {
+			f.add("request %s started %v after its caller had left", req.id, x.Started.Sub(req.endedAt))
+		}
+	}
+}
+
 // checkNoneAfterLeaving checks that a backend server starts no request later than
 // drainBound after the node acknowledged that it leaves.
 func checkNoneAfterLeaving(f *findings, id string, execs []execution) {
@@ -180,7 +193,7 @@
 	for _, req := range all {
 		_, revoked := r.config.revokedKeys[req.key]
 		onExtraRoute := strings.HasPrefix(req.path, "/extra")
-		if req.sentAt.Before(r.recoveredAt) || revoked || onExtraRoute || req.status == http.StatusTooManyRequests {
+		if req.sentAt.Before(r.recoveredAt) || req.leaves || revoked || onExtraRoute || req.status == http.StatusTooManyRequests {
 			continue
 		}
 		total++
