--- a/internal/sidecar/sockets_test.go
+++ b/internal/sidecar/sockets_test.go
@@ -67,3 +67,35 @@
 		}
 	}
 }
+
+// TestScarceSocketsFreeIdleConnections guards against the idle connections that other nodes
+// keep after a burst using up the sockets of the node to which they lead.
+func TestScarceSocketsFreeIdleConnections(t *testing.T) {
+	c := prepareCluster(t, "stock", "mill")
+	c.slots = 200
+	const limit = 100
+	c.adjustSettings = func(s *platform.Settings) {
+		if s.Node == "node-1" {
+			s.Sockets = limit
+		}
+	}
+	c.start()
+	c.nodes[1].backend.Intercept(func(http.ResponseWriter, *http.Request) bool {
+		time.Sleep(200 * time.Millisecond)
+		return false
+	})
+	const calls = 42 // each has a connection to the node and one to its backend server
+	replies := make(chan reply, calls)
+	for range calls {
+		go func() { replies <- c.get(c.nodes[0], "/mill/view/1", "key-guild") }()
+	}
+	for range calls {
+		if r := <-replies; !r.served() {
+			t.Errorf("%+v", r)
+		}
+	}
+	time.Sleep(200 * time.Millisecond)
+	if used := c.nodes[1].node.sockets.Used(); used > limit*3/4 {
+		t.Errorf("%d of %d sockets are open after the burst", used, limit)
+	}
+}
