--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -115,9 +115,6 @@
 		hop.WriteToNode(w, hop.Refused(request.ReasonBadRequest, 0))
 		return
 	}
-	if g.n.stopping.Load() || g.n.sockets.Scarce() {
-		w.Header()["Connection"] = []string{"close"}
-	}
 	ctx := r.Context()
 	if c.Body.Rest != nil { // the server does not watch the sending node until it is read
 		var cancel context.CancelFunc
@@ -128,6 +125,9 @@
 	if c.AskConfig {
 		resp.Config = g.n.state.configFreshness()
 	}
+	if g.n.stopping.Load() || g.n.sockets.Scarce() {
+		w.Header()["Connection"] = []string{"close"}
+	}
 	hop.WriteToNode(w, resp)
 }
 
