An internal call that its backend server has given up is no failure of the service behind

Each counted as failed, and every request that failed at that backend server meanwhile as failed because of a call, which is not retried at another one. TestInternalCallAfterCallerLeft failed before, for a service at the same node and at another one.

--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -126,7 +126,8 @@
 	n.downstream.internalCallStarted(c)
 	resp := n.callWithRetries(ctx, c, route)
 	n.downstream.internalCallEnded(c, resp)
-	if resp.Refusal != nil || resp.Status >= 500 {
+	gaveUp := resp.Refusal != nil && resp.Refusal.Reason == request.ReasonCallerLeft
+	if !gaveUp && (resp.Refusal != nil || resp.Status >= 500) {
 		n.guard.internalCallFailed()
 	}
 	return resp
--- a/internal/sidecar/left_test.go
+++ b/internal/sidecar/left_test.go
@@ -274,3 +274,29 @@
 		t.Errorf("next request: %+v", r)
 	}
 }
+
+// TestInternalCallAfterCallerLeft guards against taking an internal call that its backend
+// server has given up for a failure of the service behind, after which the requests that fail
+// meanwhile are not retried.
+func TestInternalCallAfterCallerLeft(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	for _, n := range c.nodes {
+		n.backend.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+			<-r.Context().Done()
+			return true
+		})
+	}
+	for _, to := range []string{"stock", "mill"} {
+		con, err := net.Dial("tcp", c.nodes[0].settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(con, "GET /%s/open/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: 2000\r\n\r\n", to, newID())
+		time.Sleep(100 * time.Millisecond)
+		con.Close()
+		time.Sleep(100 * time.Millisecond)
+		if c.nodes[0].node.guard.lastCallFailure.Load() != 0 {
+			t.Errorf("a call to %s that was given up counts as failed", to)
+		}
+	}
+}
