Whether a caller has left is seen by a peek, which costs less than a poll

A peek, which the pool also makes before it reuses a connection, finds the end of the stream unless bytes stand unread before it; only then the kernel is polled.

--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -53,11 +53,16 @@
 
 // peerClosed also finds an end of the stream that stands behind unread bytes.
 func peerClosed(fd int) bool {
-	poll := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	if n, err := unix.Poll(poll[:], 0); err == nil && n > 0 {
-		return poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	var b [1]byte
+	switch n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); {
+	case err != nil:
+		return err != unix.EAGAIN && err != unix.EINTR
+	case n == 0:
+		return true
 	}
-	return false
+	poll := [1]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll[:], 0)
+	return err == nil && n > 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
 // watchInterval is how often Await looks. It is far below the time after which work for a
