--- a/review/harness/term.go
+++ b/review/harness/term.go
@@ -17,7 +17,7 @@
 	// worker is still at work in the last sixth of graceS.
 	sentLimit = 3 * time.Second
 	// rounds is how often the two nodes are restarted.
-	rounds = 5
+	rounds = 7
 )
 
 // termCase: the two nodes of a zone get SIGTERM, one after the other. Fewer than half of the
@@ -40,8 +40,8 @@
 	time.Sleep(4 * time.Second)
 
 	stopping := f.nodes[:2]
-	// Half of the requests come from the machines that stop.
-	from := []*node{f.nodes[0], f.nodes[2], f.nodes[1], f.nodes[3], f.nodes[0], f.nodes[4], f.nodes[1], f.nodes[5]}
+	// Most requests come from the machines that stop.
+	from := []*node{f.nodes[0], f.nodes[1], f.nodes[2], f.nodes[0], f.nodes[1], f.nodes[3], f.nodes[0], f.nodes[1], f.nodes[4], f.nodes[0], f.nodes[1], f.nodes[5]}
 	termAt := map[string][]time.Time{}
 	var mu sync.Mutex
 	var answers []answer
@@ -49,7 +49,7 @@
 	rnd := rand.New(rand.NewPCG(7, 7))
 	stop := make(chan struct{})
 	wg.Go(func() {
-		t := time.NewTicker(12 * time.Millisecond)
+		t := time.NewTicker(10 * time.Millisecond)
 		defer t.Stop()
 		for i := 0; ; i++ {
 			select {
