--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -110,7 +110,7 @@
 }
 
 func main() {
-	cases := map[string]func(*fleet, bool) string{"drain": drainCase, "term": termCase, "quota": quotaCase, "path": pathCase, "slow": slowCase, "leak": leakCase}
+	cases := map[string]func(*fleet, bool) string{"drain": drainCase, "term": termCase, "quota": quotaCase, "slow": slowCase, "leak": leakCase}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: harness CASE RECORD")
 		os.Exit(2)
