--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -25,6 +25,9 @@
 	f.add("esna-2", "esna", "permits", 32, 20*time.Millisecond)
 	f.add("assiut-1", "assiut", "tally", 32, 20*time.Millisecond)
 	f.add("assiut-2", "assiut", "permits", 32, 20*time.Millisecond)
+	for _, name := range []string{"assiut-3", "aswan-1", "aswan-2"} { // one worker of five leaves
+		f.add(name, name[:len(name)-2], "tally", 32, 20*time.Millisecond)
+	}
 	for _, n := range f.nodes {
 		n.start(true)
 		n.worker.start()
