--- a/review/harness/main.go
+++ b/review/standins/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command harness plays the cases of the review: it starts nodes with the command of the deploy
+// Command standins plays the cases of the review: it starts nodes with the command of the deploy
 // file, plays clients, workers, the store and the platform's checks on loopback addresses, and
 // judges what these have seen.
 package main
@@ -112,7 +112,7 @@
 func main() {
 	cases := map[string]func(*fleet, bool) string{"drain": drainCase, "term": termCase, "quota": quotaCase, "slow": slowCase, "leak": leakCase}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Println("usage: harness CASE RECORD")
+		fmt.Println("usage: standins CASE RECORD")
 		os.Exit(2)
 	}
 	file, err := os.Create(os.Args[2])
