--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,5 +7,6 @@
   exit 2
 fi
 REVIEW_ROOT=$root
-export REVIEW_ROOT
+TROUBLE=${TROUBLE:-1} # 0: without the disruption
+export REVIEW_ROOT TROUBLE
 exec "$root/review/bin/standins" leak "$here/record.txt"
