--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,7 +38,10 @@
 	DataCentre  string `json:"data_centre"`
 	Incarnation string `json:"incarnation"` // identifies the run of the node's process
 	// Serving is false once the shutdown of the node has begun.
-	Serving bool    `json:"serving"`
+	Serving bool `json:"serving"`
+	// Key is what the requests of other nodes have to bear; empty in the rows of earlier
+	// releases, whose nodes neither have one nor send one.
+	Key     string  `json:"key,omitempty"`
 	Backend Backend `json:"backend"`
 }
 
@@ -102,6 +105,9 @@
 	if address.Port() == 0 {
 		return fmt.Errorf("address %q has no port", m.Address)
 	}
+	if m.Key != "" && !validKey(m.Key) {
+		return errors.New("invalid key")
+	}
 	return m.Backend.check()
 }
 
--- a/internal/hop/header.go
+++ b/internal/hop/header.go
@@ -131,6 +131,14 @@
 	h[newestHeader] = []string{strconv.FormatUint(c.Newest, 10)}
 }
 
+// readCallHeaders reads the headers of the response to a call.
+func (resp *Response) readCallHeaders() error {
+	if !isFromNode(resp.Header) {
+		return errNotFromNode
+	}
+	return resp.readNodeHeaders()
+}
+
 // readNodeHeaders reads the headers of a response from another node and removes them.
 func (resp *Response) readNodeHeaders() error {
 	h := resp.Header
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -22,6 +22,7 @@
 	dialer  net.Dialer
 	maxIdle time.Duration // connections idle for longer are closed
 	sockets *sockets.Budget
+	keyOf   func(addr string) string // nil if no address has a key
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address; most recently used last
--- a/internal/hop/pool_test.go
+++ b/internal/hop/pool_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/internal/sockets"
 )
@@ -63,8 +64,12 @@
 	return s
 }
 
+// nodeLine is a header by which a response is known to be from a node.
+var nodeLine = loadHeader + ": " + pressure.EncodeLoad(pressure.Load{}) + "\r\n"
+
+// response returns a response that a node or a backend server may send.
 func response(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: x\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sRequest-Id: %s\r\nResponse-Signature: x\r\nContent-Length: %d\r\n\r\n%s", nodeLine, id, len(body), body)
 }
 
 // respond returns a script that writes s.
--- a/internal/hop/refusal_test.go
+++ b/internal/hop/refusal_test.go
@@ -85,9 +85,9 @@
 // TestCutHead guards against taking a response whose head is cut off for a whole one.
 func TestCutHead(t *testing.T) {
 	for _, head := range []string{
-		"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Signature: x\r\nContent-Length: 0\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nResponse-Signature: x\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-		"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: 1500\r\nResponse-Signature: x\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + nodeLine + "Request-Id: r1\r\nResponse-Signature: x\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + nodeLine + "Response-Signature: x\r\nRequest-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n" + nodeLine + "Request-Id: r1\r\nContent-Length: 1500\r\nResponse-Signature: x\r\n\r\n",
 	} {
 		for n := range len(head) {
 			s := serve(t, func(c net.Conn, _ *http.Request) bool {
@@ -104,3 +104,14 @@
 		}
 	}
 }
+
+// TestResponseOfNode guards against taking the response of another program than a node, such as
+// a redirect, for that of a backend server.
+func TestResponseOfNode(t *testing.T) {
+	for _, status := range []string{"200 OK", "204 No Content", "307 Temporary Redirect", "400 Bad Request", "431 Request Header Fields Too Large"} {
+		s := serve(t, respond("HTTP/1.1 "+status+"\r\nRequest-Id: r1\r\nResponse-Signature: x\r\nLocation: /a\r\nContent-Length: 0\r\n\r\n"))
+		if resp, err := newTestPool().SendToNode(t.Context(), s.addr, newCall("r1", "x")); err == nil || !err.Sent {
+			t.Errorf("%s: %+v, %v; want an error with Sent set", status, resp, err)
+		}
+	}
+}
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -16,13 +16,18 @@
 	for k, v := range c.Header {
 		h[k] = v
 	}
+	if !p.setKey(h, addr) && !readableByPath(c.URI) {
+		resp := Refused(request.ReasonPeerRelease, 0)
+		resp.RetryElsewhere = true
+		return resp, nil
+	}
 	h[CallHeader] = []string{c.encode(time.Now())}
 	if c.AskConfig {
 		h[askConfigHeader] = []string{"1"}
 	}
 	setTargetLimit(h, c.TargetLimit)
 	setMaxWait(h, c.MaxWait)
-	resp, err := p.do(ctx, exchange{addr: addr, call: c, header: h, accept: (*Response).readNodeHeaders, choice: recentIf(!c.Idempotent || c.Repeated)})
+	resp, err := p.do(ctx, exchange{addr: addr, call: c, header: h, accept: (*Response).readCallHeaders, choice: recentIf(!c.Idempotent || c.Repeated)})
 	if err != nil {
 		return nil, err
 	}
@@ -158,5 +163,7 @@
 
 func (p *Pool) post(ctx context.Context, addr, path string, body []byte, choice connChoice) (*Response, *Error) {
 	c := &Call{Method: http.MethodPost, URI: path, Host: addr, Body: Body{Data: body, Length: int64(len(body))}}
-	return p.do(ctx, exchange{addr: addr, call: c, header: http.Header{}, accept: (*Response).readNodeHeaders, choice: choice})
+	h := http.Header{}
+	p.setKey(h, addr)
+	return p.do(ctx, exchange{addr: addr, call: c, header: h, accept: (*Response).readNodeHeaders, choice: choice})
 }
--- a/internal/request/refusal.go
+++ b/internal/request/refusal.go
@@ -62,6 +62,7 @@
 	ReasonNoBackend      Reason = "no_backend_server"
 	ReasonBackendLost    Reason = "backend_server_lost"
 	ReasonPeerLost       Reason = "peer_lost"
+	ReasonPeerRelease    Reason = "peer_release" // a node of an earlier release would not take the call for what it is
 	ReasonNodeStale      Reason = "node_stale"
 	ReasonQuarantined    Reason = "quarantined"
 	ReasonCallerLeft     Reason = "caller_left" // nothing is done for it any more
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -35,6 +35,7 @@
 	coldRate        any           // requests per second that a cold backend server bears; nil for no limit
 	cold            time.Duration // of each backend server after its start
 	adjustSettings  func(*platform.Settings)
+	adjustNode      func(*testNode, *Node)                     // called before the node runs
 	wrapPeerHandler func(*testNode, http.Handler) http.Handler // wraps the handler for peers
 	// wrapPeerListener wraps the listener for peers.
 	wrapPeerListener func(*testNode, net.Listener) net.Listener
@@ -118,6 +119,7 @@
 		t: t, store: s, storeLink: storeLink, address: strings.TrimPrefix(server.URL, "http://"),
 		keys: map[string]string{"key-guild": "guild"}, rates: map[string]float64{}, slots: 4,
 		adjustSettings:     func(*platform.Settings) {},
+		adjustNode:         func(*testNode, *Node) {},
 		wrapPeerHandler:    func(_ *testNode, h http.Handler) http.Handler { return h },
 		wrapPeerListener:   func(_ *testNode, l net.Listener) net.Listener { return l },
 		wrapCallerListener: func(_ *testNode, l net.Listener) net.Listener { return l },
@@ -183,6 +185,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	c.adjustNode(n, node)
 	for _, s := range node.servers {
 		if s.name == "peers" {
 			s.Handler = c.wrapPeerHandler(n, s.Handler)
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -43,7 +43,7 @@
 	b := m.n.guard.announcement()
 	return fleet.Member{
 		Node: s.Node, Address: s.PeerAddress, DataCentre: s.DataCentre, Incarnation: m.n.incarnation,
-		Serving: !m.n.stopping.Load(),
+		Serving: !m.n.stopping.Load(), Key: *m.n.key.Load(),
 		Backend: fleet.Backend{ID: b.ID, Service: b.Service, Slots: b.Slots, State: b.State, Born: b.Born},
 	}
 }
@@ -62,6 +62,7 @@
 		case <-ctx.Done():
 			return nil
 		}
+		m.restoreKey()
 		m.restoreBackend()
 		m.awaitAnnouncement(ctx)
 	}
@@ -144,6 +145,19 @@
 	return row, err
 }
 
+// restoreKey restores the key that an earlier process of the node has stored, which the other
+// nodes know, or sets a new one.
+func (m *memberRow) restoreKey() {
+	if *m.n.key.Load() != "" {
+		return // of the first start
+	}
+	key := newKey()
+	if own := m.n.state.ownRow.Load(); own != nil && own.Member != nil && own.Member.Key != "" {
+		key = own.Member.Key
+	}
+	m.n.setKey(key)
+}
+
 // restoreBackend restores the state of the backend server that an earlier process of
 // the node has stored: that it is draining, or which server it is until its next
 // announcement.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,6 +41,8 @@
 
 const (
 	maxHeaderBytes = 64 << 10
+	// peerHeaderBytes is what nodes may add to the headers of a caller's request.
+	peerHeaderBytes = 8 << 10
 	// readHeaderTimeout exceeds the header timeout that the operator configures for
 	// callers.
 	readHeaderTimeout = 10 * time.Second
@@ -73,9 +75,12 @@
 	storeAddress    atomic.Pointer[string]
 	pendingSettings atomic.Pointer[[]string]
 	incarnation     string
-	store           *platform.Store
-	metrics         *obs.Metrics
-	histograms      histograms
+	// key is what the requests of other nodes have to bear; empty until the node has read which
+	// one its earlier process had.
+	key        atomic.Pointer[string]
+	store      *platform.Store
+	metrics    *obs.Metrics
+	histograms histograms
 
 	state          *storeState
 	guard          *guard
@@ -121,6 +126,11 @@
 	n.pendingSettings.Store(&[]string{})
 	n.histograms = newHistograms(n.metrics)
 	n.store.Observe = n.observeStoreCall
+	n.peers.UseKeys(n.keyOf)
+	n.key.Store(new(string))
+	if s.FirstStart {
+		n.setKey(newKey())
+	}
 	n.state = newStoreState(n)
 	n.crashes = newCrashTracker(log, n.publishCrash)
 	n.downstream = newDownstream()
@@ -140,12 +150,6 @@
 // listen opens all listeners before the node runs, so that an invalid address makes
 // the start fail.
 func (n *Node) listen() error {
-	peers := http.NewServeMux()
-	peers.HandleFunc(bankPath, n.tokens.serveBank)
-	peers.HandleFunc(livenessPath, n.guard.serveLiveness)
-	peers.HandleFunc(configurationPath, n.state.serveConfiguration)
-	peers.HandleFunc(feedPath, n.state.serveFeed)
-	peers.HandleFunc("/", n.guard.serve)
 	control := http.HandlerFunc(n.serveControl)
 	lc := net.ListenConfig{KeepAliveConfig: hop.KeepAlive, Control: hop.SetUserTimeout}
 	for _, x := range []struct {
@@ -153,7 +157,7 @@
 		handler       http.Handler
 	}{
 		{"callers", n.settings.CallerAddress, http.HandlerFunc(n.serveCaller)},
-		{"peers", n.settings.PeerAddress, peers},
+		{"peers", n.settings.PeerAddress, http.HandlerFunc(n.servePeer)},
 		{"announcements", n.settings.AnnounceAddress, control},
 		{"ready", n.settings.ReadyAddress, control},
 		{"metrics", n.metricsAddress(), n.metricsHandler()},
@@ -164,7 +168,8 @@
 		}
 		n.servers = append(n.servers, &server{listener: n.sockets.Listen(l), name: x.name, Server: http.Server{
 			Handler: x.handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout: idleTimeout, WriteTimeout: responseWriteTimeout,
+			DisableGeneralOptionsHandler: true, // OPTIONS * of a caller has no route
+			IdleTimeout:                  idleTimeout, WriteTimeout: responseWriteTimeout,
 			ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 		}})
 	}
@@ -174,7 +179,9 @@
 	callers.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return presence.WithConn(n.ahead.ConnContext(ctx, nc), nc.(*ahead.Conn).Conn)
 	}
-	n.servers[1].ConnContext = presence.WithConn
+	peers := n.servers[1]
+	peers.ConnContext = presence.WithConn
+	peers.MaxHeaderBytes += peerHeaderBytes
 	return nil
 }
 
--- a/internal/sidecar/storestate.go
+++ b/internal/sidecar/storestate.go
@@ -65,6 +65,7 @@
 	confirmedAsOf atomic.Int64  // time since boot at which the configuration was known to be the newest
 	newerVersion  chan struct{} // signals that a peer has a newer configuration
 	members       atomic.Pointer[[]*fleet.Member]
+	peers         atomic.Pointer[peerDirectory]
 	evacuated     atomic.Pointer[[]string] // data centres, sorted
 	ownRow        atomic.Pointer[ownRow]
 	fleetLoaded   chan struct{} // closed once the fleet table has been read
@@ -88,6 +89,7 @@
 		newerVersion: make(chan struct{}, 1), watchesEnd: make(chan struct{}),
 	}
 	s.members.Store(&[]*fleet.Member{})
+	s.peers.Store(newPeerDirectory(nil))
 	s.evacuated.Store(&[]string{})
 	s.confirmedAsOf.Store(-int64(time.Hour))
 	s.replication.init(s)
@@ -269,6 +271,7 @@
 func (s *storeState) publishFleet(first bool) {
 	members := s.fleetView.Members()
 	s.members.Store(&members)
+	s.peers.Store(newPeerDirectory(members))
 	own := s.fleetView.Row(s.n.settings.Node)
 	s.ownRow.Store(&ownRow{Row: own, revision: platform.Revision{Era: s.fleetEra, Version: own.Version}})
 	s.n.balancer.setMembers(time.Now(), members, first)
