--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -67,6 +67,9 @@
 		if last.Refusal != nil && last.Refusal.Reason == request.ReasonEvacuated {
 			tried = append(tried, n.balancer.endpointsBeside(c.Service, ep)...)
 		}
+		if !n.doneBeforeStop(c) {
+			break // it may not be done by then at another endpoint
+		}
 		if abandoned {
 			continue
 		}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -43,46 +43,50 @@
 	n.activeRequests.Add(1)
 	defer n.activeRequests.Add(-1)
 	h := platform.ReadRequestHeader(r.Header)
-	resp := n.handleRequest(r, h, arrived)
+	resp, c := n.handleRequest(r, h, arrived)
 	defer resp.Close()
 	if n.stopping.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
 	if resp.Refusal != nil { // also if the caller has left: without it the server would send an empty success
 		n.writeRefusal(w, r, h.ID, resp.Refusal)
-		return
+	} else {
+		hop.WriteToCaller(w, resp)
+	}
+	if c != nil {
+		n.durations.observe(c, resp)
 	}
-	hop.WriteToCaller(w, resp)
 }
 
-// handleRequest admits or refuses a request and returns the response.
-func (n *Node) handleRequest(r *http.Request, h platform.RequestHeader, arrived time.Time) *hop.Response {
+// handleRequest admits or refuses a request and returns the response, and the call unless it is
+// refused before there is one.
+func (n *Node) handleRequest(r *http.Request, h platform.RequestHeader, arrived time.Time) (*hop.Response, *hop.Call) {
 	if n.closing.Load() {
-		return hop.Refused(request.ReasonDraining, shortRetryAfter)
+		return n.refusedByStop(), nil
 	}
 	if n.activeRequests.Load() > maxActiveRequests {
-		return hop.Refused(request.ReasonOverload, shortRetryAfter)
+		return hop.Refused(request.ReasonOverload, shortRetryAfter), nil
 	}
 	cat := n.state.catalog.Load()
 	if cat == nil {
-		return hop.Refused(request.ReasonNodeStale, shortRetryAfter)
+		return hop.Refused(request.ReasonNodeStale, shortRetryAfter), nil
 	}
 	route, ws, refused := n.matchRoute(cat, r, h)
 	if refused != nil {
-		return refused
+		return refused, nil
 	}
 	service := n.balancer.chooseService(route)
 	body, err := hop.ReadBody(r, cat.Service(service).MaxBody)
 	if err != nil {
 		if errors.Is(err, hop.ErrBodyTooLarge) {
-			return hop.Refused(request.ReasonBodyTooLarge, 0)
+			return hop.Refused(request.ReasonBodyTooLarge, 0), nil
 		}
-		return hop.Refused(request.ReasonBadRequest, 0)
+		return hop.Refused(request.ReasonBadRequest, 0), nil
 	}
 	c := n.newCall(cat, r, h, route, ws, arrived, body)
 	c.Service = service
 	if !time.Now().Before(c.Deadline) { // it stood behind another request for too long
-		return hop.Refused(request.ReasonDeadline, shortRetryAfter)
+		return hop.Refused(request.ReasonDeadline, shortRetryAfter), nil
 	}
 	ctx, endWatch := r.Context(), func() {}
 	if c.Body.Rest != nil { // the server does not watch the caller until it is read
@@ -94,18 +98,21 @@
 		cancel()
 		endWatch()
 	})
-	return resp
+	return resp, c
 }
 
 // forward admits or refuses a request or an internal call and returns the response. ctx must
 // not end before a streamed response body is read.
 func (n *Node) forward(ctx context.Context, c *hop.Call, route *catalog.Route, ws *catalog.Workspace) *hop.Response {
+	if !n.doneBeforeStop(c) {
+		if c.Workspace == "" {
+			n.guard.internalCallFailed()
+		}
+		return n.refusedByStop()
+	}
 	if c.Workspace == "" {
 		return n.handleInternalCall(ctx, c, route)
 	}
-	if !n.acceptsRequests() {
-		return hop.Refused(request.ReasonDraining, shortRetryAfter)
-	}
 	if refusal, ok := n.downstream.admit(c, ws.Weight); !ok {
 		return &hop.Response{Refusal: &refusal}
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -92,16 +92,17 @@
 	peers          *hop.Pool
 	retryBudgets   retryBudgets
 	responseTimes  responseTimes
+	durations      requestDurations
 	livenessChecks singleflight.Group // by endpoint ID
 	downstream     *downstream
 
 	startedAt      time.Time
 	stopping       atomic.Bool
-	closing        atomic.Bool     // new requests are refused
-	acceptUntil    atomic.Int64    // time since startedAt until which a stopping node accepts callers' requests
-	activeRequests atomic.Int64    // requests of callers and of the backend server in progress
-	delay          atomic.Int64    // see recordDelay, in nanoseconds
-	ahead          *ahead.Listener // for callers
+	closing        atomic.Bool               // new requests are refused
+	stopAt         atomic.Pointer[stopTimes] // nil until the node stops
+	activeRequests atomic.Int64              // requests of callers and of the backend server in progress
+	delay          atomic.Int64              // see recordDelay, in nanoseconds
+	ahead          *ahead.Listener           // for callers
 	servers        []*server
 }
 
