--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -6,7 +6,7 @@
 // Only the node beside a backend server can reach it, so this state alone decides whether
 // a request may start there. Announcements may be late, repeated, or from an earlier
 // incarnation at the same address. (An incarnation is the time from one start of a backend
-// server to its end; Born is the start time.) Three rules prevent a backend server that
+// server to its end; Born is the start time.) Four rules prevent a backend server that
 // has announced draining or gone from getting requests again:
 //
 //   - An announcement of an earlier incarnation than the known one is ignored. One of the
@@ -17,9 +17,12 @@
 //     again only if it still announces ready after the longest time that an announcement
 //     can be delayed. The announcement of gone may itself be a late one from an earlier
 //     incarnation with the same ID: it carries neither start time nor sequence number.
+//   - An announcement of the state gone counts for all incarnations with its ID that started
+//     before it, known or not, and is stored with the state (Departure).
 package backend
 
 import (
+	"slices"
 	"time"
 
 	"github.com/teaselseam/teaselseam/platform"
@@ -50,6 +53,8 @@
 	cold coldness
 
 	statedLeaving bool // a response has stated that this incarnation leaves
+
+	departures []Departure // oldest first
 }
 
 // Known reports whether a backend server is known.
@@ -63,14 +68,6 @@
 // hide the announcements of the real one.
 const maxClockStep = time.Minute
 
-// Restore sets the state saved by an earlier process of the node, unless a backend server
-// is already known or it claims to have started in the future.
-func (s *Server) Restore(now time.Time, a platform.Announcement) {
-	if !s.Known() && a.Born <= now.Add(maxClockStep).UnixMilli() {
-		s.Announcement = a
-	}
-}
-
 // Apply updates the state from an announcement. It returns true if anything changed other
 // than the receipt time and the sequence number.
 func (s *Server) Apply(now time.Time, a platform.Announcement) bool {
@@ -85,8 +82,15 @@
 		s.announceCold(now, a.ColdRemaining, s.Known())
 		s.accept(now, a)
 		s.rateLimit, s.responded, s.statedLeaving = nil, false, false
+		s.applyDeparture(now)
 		return true
-	case a.Born < s.Born || a.ID != s.ID || a.Sequence <= s.Sequence:
+	case a.Born < s.Born || a.ID != s.ID:
+		return false
+	case a.State == platform.Draining && s.State == platform.Ready: // final, whatever arrived before
+		s.Sequence = max(a.Sequence, s.Sequence)
+		s.State, s.ReceivedAt = platform.Draining, now
+		return true
+	case a.Sequence <= s.Sequence:
 		return false
 	}
 	s.Sequence, s.ReceivedAt = a.Sequence, now
@@ -108,8 +112,14 @@
 }
 
 func (s *Server) applyGone(now time.Time, a platform.Announcement) bool {
-	if a.ID != s.ID || s.State == platform.Gone {
-		return false
+	d := Departure{ID: a.ID, At: now.UnixMilli()}
+	if a.ID != s.ID {
+		return s.depart(d)
+	}
+	d.At = max(d.At, s.Born) // the clock may have been set back
+	departed := s.depart(d)
+	if s.State == platform.Gone {
+		return departed
 	}
 	s.State, s.goneReceivedAt, s.readyAfterGone = platform.Gone, now, 0
 	return true
@@ -125,6 +135,7 @@
 	if s.readyAfterGone < reviveAnnouncements {
 		return false
 	}
+	s.departures = slices.DeleteFunc(s.departures, func(d Departure) bool { return d.ID == s.ID })
 	s.accept(now, a)
 	return true
 }
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -88,7 +88,7 @@
 // that state.
 func TestRestoreYields(t *testing.T) {
 	var s Server
-	s.Restore(time.Unix(1, 0), announce("a", 1, 0, platform.Draining))
+	s.Restore(time.Unix(1, 0), announce("a", 1, 0, platform.Draining), nil)
 	if s.Ready() {
 		t.Error("ready although the restored state is draining")
 	}
@@ -110,7 +110,7 @@
 	good := announce("i-1", now.Add(5*time.Second).UnixMilli(), 1, platform.Ready)
 	for name, apply := range map[string]func(s *Server){
 		"announced": func(s *Server) { s.Apply(now, odd) },
-		"restored":  func(s *Server) { s.Restore(now, odd) },
+		"restored":  func(s *Server) { s.Restore(now, odd, nil) },
 	} {
 		var s Server
 		apply(&s)
--- a/internal/backend/condition_test.go
+++ b/internal/backend/condition_test.go
@@ -56,7 +56,7 @@
 func TestRateLimitFromOtherNodes(t *testing.T) {
 	now := time.Unix(100, 0)
 	var s Server
-	s.Restore(now, platform.Announcement{ID: "i-1", State: platform.Ready, Slots: 4, Born: 7})
+	s.Restore(now, platform.Announcement{ID: "i-1", State: platform.Ready, Slots: 4, Born: 7}, nil)
 	own := s.Incarnation()
 	if s.AdoptRateLimit(now, Incarnation{"i-1", 6}, 3) || s.RateLimitKnown() {
 		t.Error("took the limit of an earlier incarnation")
@@ -127,8 +127,8 @@
 			t.Fatal("ready again after it has stated that it leaves")
 		}
 	}
-	s.Apply(now, ready(9, 1))
-	s.ApplyResponse(leaving) // a late one of the earlier incarnation
+	s.Apply(now, ready(now.UnixMilli(), 1)) // started after the announcement of gone
+	s.ApplyResponse(leaving)                // a late one of the earlier incarnation
 	if !s.Ready() {
 		t.Error("the next incarnation is not ready")
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"slices"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/backend"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
@@ -43,6 +44,8 @@
 	// releases, whose nodes neither have one nor send one.
 	Key     string  `json:"key,omitempty"`
 	Backend Backend `json:"backend"`
+	// Departures are the latest backend servers that have announced beside the node to be gone.
+	Departures []backend.Departure `json:"departures,omitempty"`
 }
 
 // Backend describes a node's backend server in its row.
@@ -61,8 +64,14 @@
 // Same reports whether the rows of two members are equal but for what changes without a
 // write.
 func (m Member) Same(o Member) bool {
+	return m.Node == o.Node && m.Address == o.Address && m.DataCentre == o.DataCentre && m.Incarnation == o.Incarnation &&
+		m.Serving == o.Serving && m.Key == o.Key && m.SameBackend(o)
+}
+
+// SameBackend reports whether the rows of two members tell the same of their backend servers.
+func (m Member) SameBackend(o Member) bool {
 	m.Backend.ColdMS, o.Backend.ColdMS = 0, 0
-	return m == o
+	return m.Backend == o.Backend && slices.Equal(m.Departures, o.Departures)
 }
 
 // Usable reports whether requests may be sent to the member's backend server.
@@ -108,6 +117,9 @@
 	if m.Key != "" && !validKey(m.Key) {
 		return errors.New("invalid key")
 	}
+	if len(m.Departures) > backend.MaxDepartures {
+		return fmt.Errorf("%d departures", len(m.Departures))
+	}
 	return m.Backend.check()
 }
 
--- a/internal/fleet/odd_test.go
+++ b/internal/fleet/odd_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 
@@ -79,7 +80,7 @@
 		}
 		if again, err := m.Encode(); err != nil {
 			t.Errorf("%+v cannot be encoded: %v", m, err)
-		} else if m2, err := Decode("n1", again); err != nil || *m2 != *m {
+		} else if m2, err := Decode("n1", again); err != nil || !reflect.DeepEqual(m2, m) {
 			t.Errorf("%+v is decoded as %+v, %v", m, m2, err)
 		}
 	})
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -36,8 +36,9 @@
 
 // serveAnnouncement applies an announcement. It acknowledges that a backend server leaves
 // only after no more requests can start there and the store knows of it, since a node that
-// is restarted after the acknowledgement must not send it any either. Without an
-// acknowledgement the backend server repeats the announcement.
+// is restarted after the acknowledgement must not send it any either. That holds also for a
+// backend server that this process does not know: an earlier one may have stored it as ready.
+// Without an acknowledgement the backend server repeats the announcement.
 func (n *Node) serveAnnouncement(w http.ResponseWriter, r *http.Request) {
 	a, err := platform.ReadAnnouncement(r)
 	if err != nil {
@@ -50,7 +51,7 @@
 			"service", a.Service, "slots", a.Slots, "sequence", a.Sequence, "born", a.Born)
 		n.member.scheduleUpdate()
 	}
-	if a.State != platform.Ready && n.guard.leaving(a.ID) && !n.member.waitUntilStored() {
+	if a.State != platform.Ready && !n.member.waitUntilStored() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -41,8 +41,11 @@
 	lastCallFailure atomic.Int64
 	startedAt       time.Time
 
-	mu               sync.Mutex
-	server           backend.Server
+	mu     sync.Mutex
+	server backend.Server
+	// restored is set once it is known what an earlier process of the node has acknowledged.
+	// Before that, an announcement that was late may name a backend server that has left.
+	restored         bool
 	unreachableUntil time.Time
 	cold             bool        // as last logged
 	rateTimer        *time.Timer // fires when the rate of the backend server changes without news
@@ -51,6 +54,7 @@
 func newGuard(n *Node) *guard {
 	g := &guard{n: n, log: n.log, pool: hop.NewPool(backendDialTimeout, defaultBackendIdleTimeout, n.sockets), queue: newBackendQueue(), startedAt: time.Now()}
 	g.server.AssumeCold(g.startedAt)
+	g.restored = n.settings.FirstStart // there was none
 	return g
 }
 
@@ -61,21 +65,28 @@
 	return g.server.Announcement
 }
 
-// leaving reports whether the node has learned that the backend server with this ID is
-// draining or gone.
-func (g *guard) leaving(id string) bool {
+// departures returns the departures of backend servers to store with the announcement.
+func (g *guard) departures() []backend.Departure {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.server.ID == id && !g.server.Ready()
+	return g.server.Departures()
 }
 
-// restore sets the state of the backend server that an earlier process has stored.
-func (g *guard) restore(a platform.Announcement) {
+// restore sets the state of the backend server that an earlier process has stored, the zero
+// value if there was none.
+func (g *guard) restore(a platform.Announcement, departures []backend.Departure) {
 	g.mu.Lock()
-	g.server.Restore(time.Now(), a)
-	slots := g.server.Slots
+	g.server.Restore(time.Now(), a, departures)
+	g.restored = true
+	s := g.server
 	g.mu.Unlock()
-	g.queue.setSlots(slots)
+	if !s.Known() {
+		return
+	}
+	g.queue.setSlots(s.Slots)
+	if !s.Ready() {
+		g.queue.drain()
+	}
 	g.checkHealth()
 }
 
@@ -239,7 +250,7 @@
 		return refuse(request.ReasonDraining)
 	case g.evacuated():
 		return refuse(request.ReasonEvacuated)
-	case !g.server.Known() || g.server.ID != c.Target || time.Now().Before(g.unreachableUntil):
+	case !g.restored || !g.server.Known() || g.server.ID != c.Target || time.Now().Before(g.unreachableUntil):
 		return refuse(request.ReasonNoBackend)
 	}
 	return g.server.Address, g.server.Incarnation(), nil
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/backend"
 	"github.com/teaselseam/teaselseam/internal/era"
 	"github.com/teaselseam/teaselseam/internal/fleet"
 	"github.com/teaselseam/teaselseam/internal/pace"
@@ -44,7 +46,8 @@
 	return fleet.Member{
 		Node: s.Node, Address: s.PeerAddress, DataCentre: s.DataCentre, Incarnation: m.n.incarnation,
 		Serving: !m.n.stopping.Load(), Key: *m.n.key.Load(),
-		Backend: fleet.Backend{ID: b.ID, Service: b.Service, Slots: b.Slots, State: b.State, Born: b.Born},
+		Backend:    fleet.Backend{ID: b.ID, Service: b.Service, Slots: b.Slots, State: b.State, Born: b.Born},
+		Departures: m.n.guard.departures(),
 	}
 }
 
@@ -107,11 +110,16 @@
 }
 
 // awaitAnnouncement waits a little for the first announcement of the backend server, unless
-// it is known already, so that the row is not written twice at the start.
+// it is known already, so that the row is not written twice at the start. It does not wait if a
+// departure is to be stored, whose announcement is acknowledged only then.
 func (m *memberRow) awaitAnnouncement(ctx context.Context) {
+	var stored []backend.Departure
+	if own := m.n.state.ownRow.Load(); own != nil && own.Member != nil {
+		stored = own.Member.Departures
+	}
 	t := time.NewTimer(m.n.settings.AnnounceInterval + m.n.settings.AnnounceInterval/2)
 	defer t.Stop()
-	for m.n.guard.announcement().ID == "" {
+	for m.n.guard.announcement().ID == "" && slices.Equal(m.n.guard.departures(), stored) {
 		select {
 		case <-m.wake:
 		case <-t.C:
@@ -158,22 +166,24 @@
 	m.n.setKey(key)
 }
 
-// restoreBackend restores the state of the backend server that an earlier process of
-// the node has stored: that it is draining, or which server it is until its next
-// announcement.
+// restoreBackend restores what an earlier process of the node has stored: which backend server
+// it is until its next announcement, that it leaves, and which others have left. A backend
+// server that is ready in a row from before the store came back from an older copy may have
+// left since, so it is not used before its next announcement.
 func (m *memberRow) restoreBackend() {
-	own := m.n.state.ownRow.Load()
-	if own == nil || own.Member == nil {
-		return
-	}
-	b := own.Member.Backend
-	if b.ID == "" || b.Service != m.n.settings.Service {
-		return
+	var a platform.Announcement
+	var departures []backend.Departure
+	if own := m.n.state.ownRow.Load(); own != nil && own.Member != nil {
+		departures = own.Member.Departures
+		b := own.Member.Backend
+		if b.ID != "" && b.Service == m.n.settings.Service && (b.State != platform.Ready || m.n.state.writtenInEra(own.revision)) {
+			a = platform.Announcement{
+				ID: b.ID, Service: b.Service, Address: m.n.settings.BackendAddress, Slots: b.Slots,
+				State: b.State, Born: b.Born,
+			}
+		}
 	}
-	m.n.guard.restore(platform.Announcement{
-		ID: b.ID, Service: b.Service, Address: m.n.settings.BackendAddress, Slots: b.Slots,
-		State: b.State, Born: b.Born,
-	})
+	m.n.guard.restore(a, departures)
 }
 
 // write returns the new revision of the row, or its current one with ErrConflict.
@@ -213,21 +223,21 @@
 	m.changed = make(chan struct{})
 }
 
-func (m *memberRow) storedBackend() (b fleet.Backend, changed <-chan struct{}) {
+func (m *memberRow) storedRow() (row fleet.Member, changed <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stored.Backend, m.changed
+	return m.stored, m.changed
 }
 
-// waitUntilStored waits until the store has the state of the backend server, for at most
-// drainPersistTimeout, and reports whether it has.
+// waitUntilStored waits until the store has the state of the backend server and the departures
+// of others, for at most drainPersistTimeout, and reports whether it has.
 func (m *memberRow) waitUntilStored() bool {
 	m.scheduleUpdate()
 	t := time.NewTimer(drainPersistTimeout)
 	defer t.Stop()
 	for {
-		b, changed := m.storedBackend()
-		if b == m.desired().Backend {
+		row, changed := m.storedRow()
+		if row.SameBackend(m.desired()) {
 			return true
 		}
 		select {
--- a/internal/sidecar/storeera.go
+++ b/internal/sidecar/storeera.go
@@ -40,6 +40,14 @@
 	return relation
 }
 
+// writtenInEra reports whether a row was certainly written since the store has come back from an
+// older copy, if it ever has.
+func (s *storeState) writtenInEra(r platform.Revision) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.Era == s.era.Era() && s.era.WrittenIn(r.Version)
+}
+
 func (s *storeState) currentEra() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/backend.go
+++ b/internal/standin/backend.go
@@ -319,3 +319,11 @@
 	w.Header().Set("Response-Signature", "signed-by-"+b.cfg.ID)
 	_, _ = io.WriteString(w, "answer of "+b.cfg.ID+" to "+execution.ID) // the caller may have disconnected
 }
+
+// StopAnnouncing ends the periodic announcements, as if the backend server had crashed or were
+// about to leave. It goes on serving.
+func (b *Backend) StopAnnouncing() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state = ""
+}
