Soak: odd paths, long requests, other programs at the address for nodes, leaving without the store

The soak sends requests with paths that a node may take for something else, and requests of up to 1.5 s that may not be repeated, so that planned stops meet them. Another program sends messages and calls to the addresses for nodes. A new action restarts a node that the store turns away while the backend server beside it leaves.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -14,18 +14,35 @@
 // leavingOneIn is the number of requests of which one caller leaves early.
 const leavingOneIn = 20
 
+// oddOneIn and longOneIn are the numbers of requests of which one has a path of oddPaths or
+// takes up to maxLongWork.
+const (
+	oddOneIn     = 20
+	longOneIn    = 100
+	maxLongWork  = 1500 * time.Millisecond
+	longDeadline = 4 * time.Second
+)
+
+// oddPaths are paths that a node may take for something else than the path of a request:
+// those of messages between nodes, and paths that are not clean.
+var oddPaths = []string{
+	"/teaselseam/configuration", "/teaselseam/feed", "/teaselseam/share", "/teaselseam/alive", "//teaselseam/feed",
+	"/a//b", "//", "/a/../b", "/a/./b", "/a%2fb//c", "/metrics", "/status",
+}
+
 // callerRequest is one request of a caller with its result.
 type callerRequest struct {
-	id, key, path, body string
-	nonIdempotent       bool // must run at most once
-	node                *node
-	sentAt, endedAt     time.Time
-	deadline            time.Duration
-	leaves              bool // the caller closes the connection early
-	status              int  // 0 if no complete response arrived
-	responseBody        string
-	statedCondition     bool // the response states a rate limit, or that its backend server leaves
-	err                 error
+	id, key, host   string
+	path, body      string
+	nonIdempotent   bool // must run at most once
+	node            *node
+	sentAt, endedAt time.Time
+	deadline        time.Duration
+	leaves          bool // the caller closes the connection early
+	status          int  // 0 if no complete response arrived
+	responseBody    string
+	statedCondition bool // the response states a rate limit, or that its backend server leaves
+	err             error
 }
 
 // callers send requests to the nodes and record the results.
@@ -65,8 +82,15 @@
 
 func (c *callers) sendOne(client *http.Client, n *node, rnd *rand.Rand) {
 	key, prefix := c.config.choose(rnd.IntN)
-	sent := &callerRequest{id: c.nextID(), key: key, node: n, nonIdempotent: strings.HasPrefix(prefix, "/order/"), deadline: time.Second}
+	sent := &callerRequest{id: c.nextID(), key: key, host: usualHost, node: n, nonIdempotent: strings.HasPrefix(prefix, "/order/"), deadline: time.Second}
 	sent.path = prefix + sent.id
+	switch {
+	case rnd.IntN(oddOneIn) == 0:
+		sent.host, sent.path, sent.nonIdempotent = oddHost, oddPaths[rnd.IntN(len(oddPaths))], false
+	case rnd.IntN(longOneIn) == 0:
+		work := time.Duration(rnd.Int64N(int64(maxLongWork))).Round(time.Millisecond)
+		sent.path, sent.nonIdempotent, sent.deadline = fmt.Sprintf("/long/%s/%s%v", services[rnd.IntN(len(services))], workMark, work), true, longDeadline
+	}
 	method := http.MethodGet
 	if sent.nonIdempotent {
 		method, sent.body = http.MethodPost, strings.Repeat("strip ", 1+rnd.IntN(2000))
@@ -85,7 +109,7 @@
 		panic(err) // cannot happen: method and URL are always valid
 	}
 	req.ContentLength = int64(len(sent.body))
-	req.Host = "soak.example"
+	req.Host = sent.host
 	req.Header.Set("Request-Id", sent.id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(sent.deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+key)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -69,7 +69,7 @@
 	r.checkRates(&f, executions)
 	r.checkConditions(&f, executions, all)
 	r.checkRecovery(&f, all)
-	return f.list
+	return append(f.list, r.intrusions...)
 }
 
 // checkResponse checks that a success belongs to the request and that the request ran,
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -10,6 +10,12 @@
 	"github.com/teaselseam/teaselseam/platform"
 )
 
+// Hosts of requests. One route takes all paths of oddHost.
+const (
+	usualHost = "soak.example"
+	oddHost   = "odd.example"
+)
+
 var services = []string{"desk", "mill"}
 
 // workspaceRates has the rate of each workspace in requests/s. The burst is one
@@ -50,19 +56,22 @@
 	conf := &platform.Configuration{Version: uint64(c.version), Workspaces: []platform.Workspace{}, Limits: platform.Limits{
 		HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
 	}}
-	add := func(name, prefix, service string, priority int, idempotent, public bool) {
+	add := func(name, prefix, service string, priority int, idempotent, public bool) *platform.Route {
 		conf.Routes = append(conf.Routes, platform.Route{
-			Name: name, Host: "soak.example", Prefix: prefix, Services: []platform.WeightedService{{Service: service, Weight: 1}},
+			Name: name, Host: usualHost, Prefix: prefix, Services: []platform.WeightedService{{Service: service, Weight: 1}},
 			Idempotent: idempotent, Timeout: 1500 * time.Millisecond, TargetLatency: 400 * time.Millisecond,
 			Priority: priority, MaxAttempts: maxAttempts, Public: public,
 		})
+		return &conf.Routes[len(conf.Routes)-1]
 	}
 	for _, s := range services {
 		conf.Services = append(conf.Services, platform.Service{Name: s})
 		add("view-"+s, "/view/"+s+"/", s, 1, true, false)
 		add("order-"+s, "/order/"+s+"/", s, 0, false, false)
 		add("check-"+s, "/check/"+s+"/", s, 0, true, true)
+		add("long-"+s, "/long/"+s+"/", s, 0, false, false).Timeout = longDeadline
 	}
+	add("all", "/", services[1], 1, true, false).Host = oddHost
 	for _, name := range c.extraRoutes {
 		add(name, "/"+name+"/", services[0], 1, true, false)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -68,6 +68,7 @@
 		n.recordFault()
 	}},
 	{"link fault to the backend server", false, func(r *run, n *node, rnd *rand.Rand) { r.injectLinkFault(n, n.toBackend, rnd) }},
+	{"restart a node without the store while its backend server leaves", false, func(r *run, n *node, _ *rand.Rand) { r.leaveWithoutStore(n) }},
 	{"backend server names a rate limit", true, func(r *run, n *node, rnd *rand.Rand) { r.nameLimit(n, rnd) }},
 	{"backend server leaves unannounced", false, func(r *run, n *node, _ *rand.Rand) {
 		n.recordFault()
@@ -87,7 +88,11 @@
 	responseEndlessBody
 )
 
-const responseFaultDuration = 2 * time.Second
+const (
+	responseFaultDuration = 2 * time.Second
+	linkFaultDuration     = 2 * time.Second // after the end of the process
+	leaveTimeout          = 8 * time.Second // for the acknowledgement that a backend server leaves
+)
 
 // injectResponseFault makes the backend server beside a node drop or truncate responses
 // for responseFaultDuration.
@@ -163,6 +168,29 @@
 	n.replaceBackend(b, 0, r.interceptor(n))
 }
 
+// leaveWithoutStore restarts a node that the store does not answer, while the backend server
+// beside it announces that it is gone, until that is acknowledged. It goes on serving for a
+// while.
+func (r *run) leaveWithoutStore(n *node) {
+	n.recordFault()
+	b := n.currentBackend()
+	b.StopAnnouncing()
+	n.toStore.setFault(linkReset)
+	n.terminate()
+	time.AfterFunc(linkFaultDuration, func() { n.toStore.setFault(linkOK) })
+	for end := time.Now().Add(leaveTimeout); !b.Acknowledged("gone") && time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
+		b.Deregister(context.Background())
+	}
+	if b.Acknowledged("gone") {
+		n.mu.Lock()
+		n.leaveAcknowledged[b] = time.Now()
+		n.mu.Unlock()
+	}
+	n.recordFault()
+	time.Sleep(drainBound + time.Second)
+	n.replaceBackend(b, 0, r.interceptor(n))
+}
+
 // interceptor returns the function that intercepts the requests of a backend server
 // (see standin.Backend.Intercept): it makes internal calls and drops or truncates
 // responses.
@@ -170,6 +198,7 @@
 	client := &http.Client{Timeout: time.Second}
 	return func(w http.ResponseWriter, req *http.Request) bool {
 		r.setCondition(n, w.Header())
+		workAsAsked(req)
 		if strings.Contains(req.URL.Path, "nested-") && !r.internalCall(client, n, req) {
 			standin.Sign(w)
 			w.WriteHeader(http.StatusInternalServerError)
@@ -194,6 +223,20 @@
 	}
 }
 
+// workMark precedes the time that a request takes in the last segment of its path.
+const workMark = "work-"
+
+// workAsAsked waits for as long as the path of a request says, or until its caller leaves.
+func workAsAsked(req *http.Request) {
+	_, text, found := strings.Cut(req.URL.Path, workMark)
+	if d, err := time.ParseDuration(text); found && err == nil {
+		select {
+		case <-time.After(d):
+		case <-req.Context().Done():
+		}
+	}
+}
+
 // internalCall makes a call of the backend server through the node beside it and
 // reports whether it succeeded.
 func (r *run) internalCall(client *http.Client, n *node, parent *http.Request) bool {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -46,6 +46,7 @@
 	responseFaults map[*node]responseFault
 	conditions     map[*node]*condition // what backend servers state now
 	pastConditions []*condition
+	intrusions     []string // that succeeded
 }
 
 // Run runs a fleet under faults and returns the guarantees that were violated.
@@ -107,6 +108,7 @@
 			}()
 		}
 	}
+	callers.Go(func() { r.intrude(ctx, rand.New(rand.NewPCG(r.cfg.Seed, 9))) })
 	end := time.Now().Add(r.cfg.FaultDuration)
 	var faults sync.WaitGroup
 	for k := range r.cfg.ParallelFaults {
