--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -2,8 +2,8 @@
 // to the node beside a backend server, and from there to the backend server.
 //
 // Calls are sent as plain HTTP/1.1 with the caller's method, path, headers and body
-// unchanged. Between nodes, requests carry CallHeader in addition, and refusals
-// RefusalHeader. The package does not use http.Transport, because that retries
+// unchanged. Between nodes, requests carry CallHeader and the key of the node that gets
+// them in addition (peer.go), and refusals RefusalHeader. The package does not use http.Transport, because that retries
 // requests on reused connections by itself and does not report whether a failed
 // request may have reached the peer. Pool sends each request once and reports this
 // in Error.
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -229,8 +229,8 @@
 	return m.stored, m.changed
 }
 
-// waitUntilStored waits until the store has the state of the backend server and the departures
-// of others, for at most drainPersistTimeout, and reports whether it has.
+// waitUntilStored waits until the store has the state of the backend server and the departures,
+// for at most drainPersistTimeout, and reports whether it has.
 func (m *memberRow) waitUntilStored() bool {
 	m.scheduleUpdate()
 	t := time.NewTimer(drainPersistTimeout)
