--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -139,7 +139,7 @@
 	f.workers++
 	m.worker = &worker{
 		id: fmt.Sprintf("i-%04d", f.workers), service: m.service, zone: m.zone, addr: m.app, control: m.control,
-		slots: f.slots, work: f.work, runs: &f.runs, beat: beatInterval,
+		slots: f.slots, work: f.work, runs: &f.runs, beat: beatInterval, note: f.note,
 	}
 	return m.worker.start()
 }
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -52,6 +53,7 @@
 	born                             int64
 	runs                             *runs
 	beat                             time.Duration
+	note                             func(string, ...any)
 
 	mu      sync.Mutex
 	state   string
@@ -174,5 +176,11 @@
 	})
 	time.Sleep(k.work)
 	h.Set("Response-Signature", "sig."+k.id+"."+id)
+	if strings.HasPrefix(r.URL.Path, "/report/") {
+		if n, err := serveReport(w); err != nil && k.note != nil {
+			k.note("worker %s: its answer to %s was cut after %d bytes: %v", k.id, id, n, err)
+		}
+		return
+	}
 	_, _ = io.WriteString(w, "done "+id)
 }
