--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -53,6 +53,7 @@
 	born                             int64
 	runs                             *runs
 	beat                             time.Duration
+	ahead                            time.Duration // of the time of day of its machine at its start
 	note                             func(string, ...any)
 
 	mu      sync.Mutex
@@ -69,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	k.born, k.state, k.conns = time.Now().UnixMilli(), "ready", map[net.Conn]bool{}
+	k.born, k.state, k.conns = time.Now().Add(k.ahead).UnixMilli(), "ready", map[net.Conn]bool{}
 	k.server = &http.Server{Handler: k, ConnState: func(c net.Conn, s http.ConnState) {
 		k.mu.Lock()
 		defer k.mu.Unlock()
