--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review-2/standins-2 ] && [ -x target/teaselseamd ] || { echo "build first"; exit 2; }
-exec target/review-2/standins-2 rolling-restart "$here/record.txt"
+exec target/review-2/standins-2 crashes-then-restart "$here/record.txt"
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -110,7 +110,7 @@
 	}
 	value, _ := json.Marshal(map[string]any{
 		"version":  fmt.Sprint("r", version),
-		"routes":   map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeoutMs", "targetLatencyMs", "priority", "maxAttempts", "service"}, "rows": routes},
+		"routes":   map[string]any{"columns": []string{"name", "host", "prefix", "kind", "timeoutMs", "targetLatencyMs", "priority", "maxAttempts", "service", "noAuth"}, "rows": routes},
 		"services": map[string]any{"columns": []string{"name", "healthPath", "maxConns"}, "rows": rows},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  map[string]any{"columns": []string{"name", "apiKeys", "priority", "ratePerS", "burst"}, "rows": tenants},
@@ -138,7 +138,7 @@
 func (f *fleet) startWorker(m *machine) error {
 	f.workers++
 	m.worker = &worker{
-		id: fmt.Sprintf("i-%04d", f.workers), service: m.service, zone: m.zone, addr: m.app, control: m.control,
+		id: fmt.Sprintf("i-%04d", f.workers), service: m.service, zone: m.zone, addr: m.app, control: m.control, outbound: m.outbound,
 		slots: f.slots, work: f.work, runs: &f.runs, beat: beatInterval, note: f.note,
 	}
 	return m.worker.start()
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	cases := map[string]func(*fleet, bool) (bool, error){"long-bodies": longBodies, "rolling-restart": rollingRestart, "stepped-back": steppedBack}
+	cases := map[string]func(*fleet, bool) (bool, error){"long-bodies": longBodies, "rolling-restart": rollingRestart, "stepped-back": steppedBack, "crashes-then-restart": crashesThenRestart}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standins-2 CASE RECORD")
 		os.Exit(2)
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -48,6 +48,7 @@
 // it.
 type worker struct {
 	id, service, zone, addr, control string
+	outbound                         string // where the worker makes its calls
 	slots                            int
 	work                             time.Duration
 	born                             int64
@@ -175,7 +176,15 @@
 		Caller: r.Header.Get("Caller-Service"), Worker: k.id, Service: k.service,
 		BodySum: hex.EncodeToString(sum[:8]), BodyLen: len(body), Framed: framed,
 	})
-	time.Sleep(k.work)
+	if strings.HasPrefix(r.URL.Path, "/stock/") {
+		if status := callTable(k.outbound, r.Header.Get("Deadline-Ms")); status != http.StatusOK {
+			h.Set("Response-Signature", "sig."+k.id+"."+id)
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+	} else {
+		time.Sleep(k.work)
+	}
 	h.Set("Response-Signature", "sig."+k.id+"."+id)
 	if strings.HasPrefix(r.URL.Path, "/report/") {
 		if n, err := serveReport(w); err != nil && k.note != nil {
