--- a/review/standins-2/body.go
+++ b/review/standins-2/body.go
@@ -24,10 +24,10 @@
 // onlyReader hides the type of a reader, so that the client sends the body in chunks.
 type onlyReader struct{ io.Reader }
 
-// longBodies: clients on four machines send orders with bodies of 300 to 500 KB in chunks while one of eight
+// longBodies: clients on all machines send orders with bodies of 300 to 500 KB in chunks while one of eight
 // workers of their service is down for 4.5 s.
 func longBodies(f *fleet, trouble bool) (broken bool, err error) {
-	const workers, entries, perSecond, seconds = 8, 4, 48, 12
+	const workers, entries, perSecond, seconds = 8, 4, 72, 12
 	f.configure(7, [][]any{
 		{"r-read", "front.example", "/look/", "safe", 5000, 1200, 2, 2, "front"},
 		{"r-order", "orders.example", "/order/", "non_idempotent", 5000, 1500, 0, 2, "orders"},
@@ -46,7 +46,7 @@
 		return false, err
 	}
 	time.Sleep(8*time.Second - min(time.Since(f.began), 8*time.Second)) // traffic starts 8 s after the machines
-	f.note("traffic begins at %d machines, %d orders a second, bodies in chunks", entries, perSecond)
+	f.note("traffic begins at all machines, %d orders a second, bodies in chunks", perSecond)
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 8}}
 	orders := map[string]*sent{}
 	var mu sync.Mutex
@@ -79,7 +79,7 @@
 		mu.Lock()
 		orders[id] = o
 		mu.Unlock()
-		entry := f.machines[i%entries]
+		entry := f.machines[i%len(f.machines)]
 		wg.Go(func() {
 			o.status, o.answer = post(client, entry.outbound, "orders.example", id, o.uri, body)
 		})
