--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -36,15 +36,21 @@
 // lasts only 30 s. After that, isolation identifies the cause at its next run. The
 // crashing request is refused after its second death in every case.
 //
-// One false positive remains: a harmless request that was sent again and was running
-// at two unrelated deaths without completing in between. It cannot be told apart from a
-// crashing request, and is refused until the deaths expire.
+// Trials. A refused request cannot complete, so nothing would refute a wrong refusal. After a
+// delay one node of the fleet lets it run once (Trial). If it completes, it is cleared
+// everywhere; if it crashes the backend server, that is one more death, and the next trial
+// comes later. The number of trials within Expiry is bounded.
+//
+// Nodes that start, or that were cut off, know only what is stored. What refutes a suspicion is
+// therefore stored beside the deaths and for as long (Unstored), and so are the claims of
+// trials. Nodes store only completions that clear a fingerprint of a death of which the stored
+// ones do not clear it, so a popular request causes few writes for each death and not one for
+// each run.
 //
 // Deaths and completions expire after an hour, by the clocks of the nodes that
 // recorded them. The order rule assumes that the clocks of VMs agree within 2 ms.
 //
-// Nodes use only a part of this: a digest of the content as the only fingerprint, and
-// completions on the node where the request ran. They do not call MayStart,
-// Summary or Reply. With isolation, the hundreds of requests that one
+// Nodes use only a part of this: a digest of the content as the only fingerprint. They do not
+// call MayStart, Summary or Reply. With isolation, the hundreds of requests that one
 // backend server loses would run again one at a time.
 package quarantine
--- a/internal/quarantine/set.go
+++ b/internal/quarantine/set.go
@@ -56,6 +56,8 @@
 	deaths        map[DeathID]*Death
 	byFingerprint map[Fingerprint][]*Death // in order of time
 	completedAt   map[Fingerprint]time.Time
+	storedAt      map[Fingerprint]time.Time // latest completion that is stored
+	trials        map[Trial]bool            // held by a node, or used
 }
 
 // NewSet returns an empty set.
@@ -64,6 +66,8 @@
 		deaths:        make(map[DeathID]*Death),
 		byFingerprint: make(map[Fingerprint][]*Death),
 		completedAt:   make(map[Fingerprint]time.Time),
+		storedAt:      make(map[Fingerprint]time.Time),
+		trials:        make(map[Trial]bool),
 	}
 }
 
@@ -71,7 +75,7 @@
 func (s *Set) Clone() *Set {
 	c := &Set{
 		deaths: maps.Clone(s.deaths), byFingerprint: maps.Clone(s.byFingerprint),
-		completedAt: maps.Clone(s.completedAt),
+		completedAt: maps.Clone(s.completedAt), storedAt: maps.Clone(s.storedAt), trials: maps.Clone(s.trials),
 	}
 	for f, ds := range c.byFingerprint {
 		c.byFingerprint[f] = slices.Clone(ds)
@@ -148,19 +152,27 @@
 			s.removeDeath(d)
 		}
 	}
-	dropOldest(s.completedAt, MaxCompletions)
+	s.evictCompletions()
 }
 
-func dropOldest(m map[Fingerprint]time.Time, limit int) {
-	excess := len(m) - limit
+// evictCompletions evicts the oldest completions beyond MaxCompletions, and with each the
+// suspicions that it refutes, which would otherwise come back.
+func (s *Set) evictCompletions() {
+	excess := len(s.completedAt) - MaxCompletions
 	if excess <= 0 {
 		return
 	}
-	fs := slices.SortedFunc(maps.Keys(m), func(a, b Fingerprint) int {
-		return cmp.Or(m[a].Compare(m[b]), compareFingerprints(a, b))
+	fs := slices.SortedFunc(maps.Keys(s.completedAt), func(a, b Fingerprint) int {
+		return cmp.Or(s.completedAt[a].Compare(s.completedAt[b]), compareFingerprints(a, b))
 	})
 	for _, f := range fs[:excess] {
-		delete(m, f)
+		at := s.completedAt[f]
+		s.byFingerprint[f] = slices.DeleteFunc(s.byFingerprint[f], func(d *Death) bool { return !d.At.After(at) })
+		if len(s.byFingerprint[f]) == 0 {
+			delete(s.byFingerprint, f)
+		}
+		delete(s.completedAt, f)
+		delete(s.storedAt, f)
 	}
 }
 
@@ -174,6 +186,8 @@
 	}
 	expired := func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= Expiry }
 	maps.DeleteFunc(s.completedAt, expired)
+	s.expireStored(now)
+	s.expireTrials()
 }
 
 // RecordCompletion records that a run of a request with this fingerprint has completed.
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -25,14 +25,29 @@
 	log         *slog.Logger
 	publish     func(id string, evidence []byte)
 	nextAttempt atomic.Uint64
-
-	mu   sync.Mutex
-	runs *quarantine.RunTracker
-	set  *quarantine.Set
+	changed     chan struct{} // signals work for Node.runQuarantine
+
+	mu      sync.Mutex
+	runs    *quarantine.RunTracker
+	set     *quarantine.Set
+	trials  trials
+	urgent  bool                   // a trial has completed, for which calls are being refused
+	records map[string]crashRecord // rows of the table of crashes, by key
 }
 
 func newCrashTracker(log *slog.Logger, publish func(string, []byte)) *crashTracker {
-	return &crashTracker{log: log, publish: publish, runs: quarantine.NewRunTracker(), set: quarantine.NewSet()}
+	return &crashTracker{
+		log: log, publish: publish, changed: make(chan struct{}, 1),
+		runs: quarantine.NewRunTracker(), set: quarantine.NewSet(), trials: newTrials(), records: map[string]crashRecord{},
+	}
+}
+
+// signal wakes Node.runQuarantine.
+func (t *crashTracker) signal() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
 }
 
 // fingerprint identifies a request by route, workspace, method, URI and body. A request
@@ -49,27 +64,48 @@
 }
 
 // start records that a call is about to run, or refuses it if it has crashed backend
-// servers. finish must be called when the call has ended.
-func (t *crashTracker) start(c *hop.Call) (finish func(completed bool), refusal *request.Refusal) {
+// servers and this node holds no trial for it. finish must be called when the call has ended.
+func (t *crashTracker) start(c *hop.Call) (finish func(request.Outcome), refusal *request.Refusal) {
 	f := fingerprint(c)
 	attempt := strconv.FormatUint(t.nextAttempt.Add(1), 36)
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r, refused := t.set.Refuses(now, f); refused {
-		return nil, &r
+	r, refused := t.set.Refuses(now, f)
+	var held *heldTrial
+	if refused {
+		if held = t.trials.use(now, f); held == nil {
+			t.want(now, f)
+			return nil, &r
+		}
+		t.log.Info("refused request runs as a trial", "event", "quarantine", "id", c.ID, "route", c.Route, "fingerprint", f.String())
 	}
 	t.runs.Start(now, attempt, f)
-	return func(completed bool) { t.finish(attempt, completed, f) }, nil
+	return func(o request.Outcome) { t.finish(attempt, o, f, held) }, nil
+}
+
+// want records that a refused request was sent, so that a trial of it is claimed when the
+// next one is due.
+func (t *crashTracker) want(now time.Time, f quarantine.Fingerprint) {
+	if _, _, ok := t.set.NextTrial(now, f); ok && t.trials.want(now, f) {
+		t.signal()
+	}
 }
 
-func (t *crashTracker) finish(attempt string, completed bool, f quarantine.Fingerprint) {
+// finish records the end of a call. held is its trial, nil if it was none.
+func (t *crashTracker) finish(attempt string, o request.Outcome, f quarantine.Fingerprint, held *heldTrial) {
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.runs.Finish(now, attempt, completed)
-	if completed {
-		t.set.RecordCompletion(now, f)
+	t.runs.Finish(now, attempt, o == request.Completed)
+	switch {
+	case o == request.Completed:
+		if _, cleared := t.set.RecordCompletion(now, f); cleared {
+			t.urgent = t.urgent || held != nil
+			t.signal()
+		}
+	case o == request.NotRun && held != nil:
+		t.trials.giveBack(*held)
 	}
 }
 
@@ -90,9 +126,10 @@
 	return true
 }
 
-// applyRecord merges a crash record of another node.
-func (t *crashTracker) applyRecord(data []byte) {
-	e, err := quarantine.Decode(data)
+// applyRecord merges a row of the table of crashes: crashes, completions, or the claim of a
+// trial.
+func (t *crashTracker) applyRecord(row platform.Row) {
+	e, err := quarantine.Decode(row.Value)
 	if err != nil {
 		t.log.Warn("crash record cannot be decoded", "event", "quarantine", "err", err)
 		return
@@ -100,23 +137,42 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := time.Now()
+	t.noteRecord(row.Key, row.Value, e)
+	if trial, ok := quarantine.ParseTrial(row.Key); ok {
+		t.set.RecordTrial(trial)
+		t.trials.claimed(now, trial, e.Digest)
+		return
+	}
 	t.set.Merge(now, e)
+	t.set.MarkStored(e.Completions)
 	for _, d := range e.Deaths {
 		t.set.Merge(now, quarantine.Evidence{Completions: t.runs.CompletedAfter(d)})
 	}
+	t.signal()
 }
 
-// deaths returns the known crashes.
-func (t *crashTracker) deaths() []quarantine.Death {
+// storedRecords returns the known rows of the table of crashes by key.
+func (t *crashTracker) storedRecords() map[string][]byte {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.set.Deaths()
+	out := map[string][]byte{}
+	for _, d := range t.set.Deaths() {
+		out[uuid.UUID(d.ID).String()] = quarantine.Encode(quarantine.Evidence{Deaths: []quarantine.Death{d}})
+	}
+	for key, r := range t.records {
+		if r.value != nil {
+			out[key] = r.value
+		}
+	}
+	return out
 }
 
 func (t *crashTracker) expire() {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.set.Expire(time.Now())
+	t.set.Expire(now)
+	t.trials.expire(now)
 }
 
 const (
@@ -134,13 +190,12 @@
 	for _, r := range rows {
 		stored[r.Key] = true
 	}
-	for _, d := range n.crashes.deaths() {
-		id := uuid.UUID(d.ID).String()
-		if stored[id] || !n.isChosen("crash record "+id, crashRecordWriters) {
+	for key, value := range n.crashes.storedRecords() {
+		if stored[key] || !n.isChosen("crash record "+key, crashRecordWriters) {
 			continue
 		}
 		time.Sleep(time.Duration(rand.Float64() * float64(maxRepublishDelay)))
-		n.publishCrash(id, quarantine.Encode(quarantine.Evidence{Deaths: []quarantine.Death{d}}))
+		n.publishCrash(key, value)
 	}
 }
 
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -184,7 +184,7 @@
 	waited := time.Since(arrived)
 	if refusal != nil {
 		g.n.histograms.queueWaits.Observe(c.Route, "refused", waited)
-		finish(false)
+		finish(request.NotRun)
 		if refusal.Reason == request.ReasonCallerLeft {
 			g.n.recordCallerLeft(c, stageWaiting, "waited", waited)
 		}
@@ -197,7 +197,7 @@
 	// The backend server may have gone while the call waited.
 	addr, incarnation, resp := g.backendAddress(c)
 	if resp != nil {
-		finish(false)
+		finish(request.NotRun)
 		release(dispatch.Failed)
 		return resp
 	}
@@ -226,10 +226,18 @@
 		g.n.recordCallerLeft(c, stageRunning, "waited", waited, "ran", ran)
 	}
 	resp.DownstreamFailed = resp.Refusal == nil && resp.Status >= 500 && g.lastCallFailure.Load() > int64(started)
-	finish(resp.Refusal == nil)
+	finish(outcome(resp))
 	return resp
 }
 
+// outcome returns whether a call that was sent to the backend server has run.
+func outcome(resp *hop.Response) request.Outcome {
+	if resp.Refusal != nil {
+		return resp.Refusal.Outcome
+	}
+	return request.Completed
+}
+
 // internalCallFailed records that an internal call of the backend server has failed.
 // Internal calls do not identify the request that they belong to, so every request that
 // is running now may fail because of it.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -214,6 +214,7 @@
 	g.Go(func() error { return n.member.run(work) })
 	g.Go(func() error { return n.tokens.run(work) })
 	g.Go(func() error { return n.guard.queue.run(work) })
+	g.Go(func() error { return n.runQuarantine(work) })
 	g.Go(func() error { return n.sweep(work) })
 	g.Go(func() error {
 		select {
--- a/internal/sidecar/storestate.go
+++ b/internal/sidecar/storestate.go
@@ -258,9 +258,11 @@
 // applyCrashRecords applies the records of backend server crashes that nodes write.
 func (s *storeState) applyCrashRecords(u update) {
 	for _, r := range u.rows {
-		if !r.Deleted {
-			s.n.crashes.applyRecord(r.Value)
+		if r.Deleted {
+			s.n.crashes.forgetRecord(r.Key)
+			continue
 		}
+		s.n.crashes.applyRecord(r)
 	}
 	if u.afterCopy {
 		go s.n.republishCrashes(u.rows)
--- /dev/null
+++ b/internal/sidecar/suspects_test.go
@@ -0,0 +1,126 @@
+package sidecar
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/teaselseam/teaselseam/internal/fleet"
+	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/quarantine"
+)
+
+const tablePath = "/stock/open/table"
+
+// crashDuringTable crashes a backend server while it runs a request for tablePath, which does
+// not cause that, and starts another one in its place.
+func (c *cluster) crashDuringTable(n *testNode, id string) {
+	c.t.Helper()
+	var crashed atomic.Bool
+	backend := n.backend
+	backend.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+		if r.URL.Path == tablePath && crashed.CompareAndSwap(false, true) {
+			backend.Crash()
+			panic(http.ErrAbortHandler)
+		}
+		return false
+	})
+	before := len(c.store.Keys(fleet.DeathTable))
+	c.eventually("the crash is recorded", func() bool {
+		c.get(n, tablePath, "")
+		return crashed.Load() && len(c.store.Keys(fleet.DeathTable)) > before
+	})
+	n.killBackend()
+	time.Sleep(50 * time.Millisecond)
+	c.startBackend(n, id)
+	c.eventually("the request is run again", func() bool { return c.get(n, tablePath, "").served() })
+	c.waitReady()
+}
+
+func (c *cluster) restartNodes() {
+	c.t.Helper()
+	for _, n := range c.nodes {
+		n.node.kill()
+		n.stop()
+		<-n.stopped
+	}
+	for _, n := range c.nodes {
+		c.startNode(n)
+	}
+	c.waitReady()
+}
+
+// TestSuspectClearedBeforeRestart guards against a request that all others need being refused
+// for an hour by nodes that have started since: they read two crashes at which it was running
+// from the store, and not that it has completed in between.
+func TestSuspectClearedBeforeRestart(t *testing.T) {
+	c := newCluster(t, "stock", "stock", "stock", "mill")
+	c.crashDuringTable(c.nodes[0], "i-second")
+	time.Sleep(1500 * time.Millisecond) // the completion is stored by then
+	c.crashDuringTable(c.nodes[1], "i-third")
+	c.restartNodes()
+	for _, n := range c.nodes {
+		if r := c.get(n, tablePath, ""); !r.served() {
+			t.Errorf("through %s: %d %s", n.settings.Node, r.status, r.body)
+		}
+	}
+}
+
+// putCrashes writes records of two unrelated crashes at which a request for tablePath was
+// running alone.
+func (c *cluster) putCrashes(last time.Time) {
+	call := &hop.Call{Method: http.MethodGet, URI: tablePath, Route: "open-stock"}
+	for _, at := range []time.Time{last.Add(-10 * time.Second), last} {
+		id := uuid.Must(uuid.NewV7())
+		c.store.Put(fleet.DeathTable, id.String(), quarantine.Encode(quarantine.Evidence{Deaths: []quarantine.Death{{
+			ID: quarantine.DeathID(id), At: at, Suspects: []quarantine.Suspect{{Fingerprint: fingerprint(call)}},
+		}}}))
+	}
+}
+
+// TestRefusedSuspectIsTried guards against a refusal that nothing can end: the request is
+// refused everywhere, so it never completes. One node runs it once, and that clears it at all
+// nodes and in the store.
+func TestRefusedSuspectIsTried(t *testing.T) {
+	c := newCluster(t, "stock", "stock", "stock", "mill")
+	var runs atomic.Int64
+	for _, n := range c.nodes[:3] {
+		n.backend.Intercept(func(_ http.ResponseWriter, r *http.Request) bool {
+			if r.URL.Path == tablePath {
+				runs.Add(1)
+				time.Sleep(300 * time.Millisecond)
+			}
+			return false
+		})
+	}
+	c.putCrashes(time.Now().Add(-9 * time.Second)) // a second before the first trial
+	c.eventually("the request is refused", func() bool { return strings.Contains(c.get(c.nodes[0], tablePath, "").body, "quarantined") })
+	runs.Store(0)
+	refusedUntil := time.Now().Add(500 * time.Millisecond)
+	for time.Now().Before(refusedUntil) {
+		if r := c.get(c.nodes[3], tablePath, ""); r.served() {
+			t.Fatal("served before a trial is due")
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.eventually("a trial runs", func() bool {
+		c.get(c.nodes[3], tablePath, "")
+		return runs.Load() > 0
+	})
+	if got := runs.Load(); got != 1 {
+		t.Errorf("%d runs at first, want 1", got)
+	}
+	for _, n := range c.nodes {
+		c.eventually("the request is served through each node", func() bool { return c.get(n, tablePath, "").served() })
+	}
+	c.restartNodes()
+	for _, n := range c.nodes {
+		if r := c.get(n, tablePath, ""); !r.served() {
+			t.Errorf("after a restart through %s: %d %s", n.settings.Node, r.status, r.body)
+		}
+	}
+}
