Only a refused connection counts as a crash of the backend server

Cause: after a lost answer the guard dials the backend server, and any failure of that dial counted as a death with all that was running as suspects. A backend server that runs resets connections beyond its limit, and links fail.

Change: only ECONNREFUSED does; other failures are logged.

--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/teaselseam/teaselseam/internal/backend"
@@ -13,7 +15,6 @@
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/request"
-	"github.com/teaselseam/teaselseam/internal/sockets"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
@@ -346,7 +347,9 @@
 }
 
 // checkCrashed records a crash with the requests that were running if nothing listens at
-// the address of the backend server any more.
+// the address of the backend server any more. Only a refused connection shows that: a backend
+// server that runs resets connections or leaves them waiting when it has too many, and links
+// fail too.
 func (g *guard) checkCrashed(addr string, incarnation backend.Incarnation) {
 	d := hop.NewDialer(backendDialTimeout)
 	conn, err := d.Dial("tcp", addr)
@@ -354,7 +357,8 @@
 		_ = conn.Close() // only the result of the dial matters
 		return
 	}
-	if sockets.Exhausted(err) {
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		g.log.Info("backend server not reached after a lost answer", "event", "backend_lost", "peer", addr, "err", err)
 		return
 	}
 	g.pool.CloseIdle(addr)
--- a/internal/sidecar/suspects_test.go
+++ b/internal/sidecar/suspects_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/teaselseam/teaselseam/internal/backend"
 	"github.com/teaselseam/teaselseam/internal/fleet"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/quarantine"
@@ -124,3 +126,46 @@
 		}
 	}
 }
+
+// TestLostDialIsNoCrash guards against counting a crash of a backend server that runs on but
+// does not take a connection: its requests would become suspects.
+func TestLostDialIsNoCrash(t *testing.T) {
+	c := newCluster(t, "stock")
+	g := c.nodes[0].node.guard
+	finish, refusal := c.nodes[0].node.crashes.start(&hop.Call{Method: http.MethodGet, URI: "/stock/open/running", Route: "open-stock"})
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	defer finish(0)
+	// Connections to this address are lost: nothing accepts them and its queue is full.
+	l, err := net.Listen("tcp", freeAddress(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	fillBacklog(t, l.Addr().String())
+	suspects := func() int { return len(c.nodes[0].node.crashes.status()) }
+	g.checkCrashed(l.Addr().String(), backend.Incarnation{})
+	if got := suspects(); got > 0 {
+		t.Errorf("%d suspects of a crash after a connection that was not accepted", got)
+	}
+	l.Close()
+	g.checkCrashed(l.Addr().String(), backend.Incarnation{})
+	if got := suspects(); got != 1 {
+		t.Errorf("%d suspects of a crash after a refused connection, want 1", got)
+	}
+}
+
+// fillBacklog opens connections to a listener that accepts none until further ones are not
+// established.
+func fillBacklog(t *testing.T, address string) {
+	t.Helper()
+	for range 5000 {
+		conn, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { conn.Close() })
+	}
+	t.Fatal("the queue of the listener does not fill")
+}
