--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,7 +42,11 @@
 	Serving bool `json:"serving"`
 	// Key is what the requests of other nodes have to bear; empty in the rows of earlier
 	// releases, whose nodes neither have one nor send one.
-	Key     string  `json:"key,omitempty"`
+	Key string `json:"key,omitempty"`
+	// BodyOnDemand is set if the node asks for the rest of request bodies that are not sent at
+	// once; nodes of earlier releases do not.
+	BodyOnDemand bool `json:"body_on_demand,omitempty"`
+
 	Backend Backend `json:"backend"`
 	// Departures are the latest backend servers that have announced beside the node to be gone.
 	Departures []backend.Departure `json:"departures,omitempty"`
@@ -65,7 +69,7 @@
 // write.
 func (m Member) Same(o Member) bool {
 	return m.Node == o.Node && m.Address == o.Address && m.DataCentre == o.DataCentre && m.Incarnation == o.Incarnation &&
-		m.Serving == o.Serving && m.Key == o.Key && m.SameBackend(o)
+		m.Serving == o.Serving && m.Key == o.Key && m.BodyOnDemand == o.BodyOnDemand && m.SameBackend(o)
 }
 
 // SameBackend reports whether the rows of two members tell the same of their backend servers.
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -83,6 +83,8 @@
 	// TargetLimit is the rate limit of the target that the sending node has heard of; nil if
 	// it has heard of none.
 	TargetLimit *TargetLimit
+	// bodyWaits is set if the sending node waits to be asked for the rest of the body.
+	bodyWaits bool
 	// MaxWait is the wait for a slot from which the receiving node is to refuse the call with
 	// ReasonElsewhere; zero if it has to take the call.
 	MaxWait time.Duration
@@ -124,16 +126,6 @@
 	Newest uint64
 }
 
-// Body is a request body. Data holds all of it, or its beginning if Rest is set.
-type Body struct {
-	Data   []byte
-	Rest   io.Reader // what follows Data; nil if Data is the whole body
-	Length int64     // length of the whole body; -1 if unknown
-}
-
-// Repeatable reports whether the body can be sent again.
-func (b *Body) Repeatable() bool { return b.Rest == nil }
-
 // Response is the result of a call: a backend server's response or a refusal.
 type Response struct {
 	// Refusal is nil if the response is a backend server's.
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -83,6 +83,9 @@
 	// is closed, since what follows on it belongs to no request. It may be nil.
 	accept func(*Response) error
 	choice connChoice
+	// hold is set if the peer asks for the rest of the request body.
+	hold bool
+	rest *attemptRest // of the request body; nil if there is none
 }
 
 // connChoice is the idle connection that an exchange may reuse. It opens a new one if there
@@ -117,6 +120,10 @@
 	if presence.Left(ctx) {
 		return nil, notWanted(ctx)
 	}
+	var err error
+	if x.rest, err = newAttemptRest(&x.call.Body, x.hold); err != nil {
+		return nil, &Error{Err: err}
+	}
 	c, err := p.get(ctx, x)
 	if err != nil {
 		return nil, &Error{
@@ -170,6 +177,7 @@
 		return nil, false, &Error{Sent: true, Err: err}
 	}
 	resp, keep, err := c.receive(x)
+	x.rest.answered()
 	if err != nil {
 		if writing {
 			c.dropUnsent()
@@ -219,23 +227,25 @@
 		c.w.WriteString("Content-Length: " + strconv.FormatInt(b.Length, 10) + "\r\n")
 	}
 	c.w.WriteString("\r\n") // bufio.Writer keeps the errors of the writes above and Flush returns them
-	if b.Rest == nil && len(b.Data) <= maxInlineBody {
+	if x.rest == nil && len(b.Data) <= maxInlineBody {
 		c.w.Write(b.Data)
 		return false, c.w.Flush()
 	}
 	if err := c.w.Flush(); err != nil {
 		return false, err
 	}
-	go func() { written <- c.writeBody(b, chunked) }()
+	go func() { written <- c.writeBody(b, x.rest, chunked) }()
 	return true, nil
 }
 
-func (c *conn) writeBody(b *Body, chunked bool) error {
+// writeBody writes a request body. A rest that ends with an error leaves the body incomplete,
+// which the end of the connection shows.
+func (c *conn) writeBody(b *Body, rest *attemptRest, chunked bool) error {
 	var err error
 	if chunked {
-		err = writeChunks(c.w, b)
+		err = writeChunks(c.w, b, rest)
 	} else {
-		err = writeFramed(c.Conn, b)
+		err = writeFramed(c.Conn, b, rest)
 	}
 	if err != nil {
 		c.dropUnsent()
@@ -244,18 +254,18 @@
 	return err
 }
 
-func writeFramed(w io.Writer, b *Body) error {
-	if _, err := w.Write(b.Data); err != nil || b.Rest == nil {
+func writeFramed(w io.Writer, b *Body, rest *attemptRest) error {
+	if _, err := w.Write(b.Data); err != nil || rest == nil {
 		return err
 	}
-	n, err := io.Copy(w, b.Rest)
+	n, err := io.Copy(w, rest)
 	if err == nil && n != b.Length-int64(len(b.Data)) {
 		err = io.ErrUnexpectedEOF
 	}
 	return err
 }
 
-func writeChunks(w *bufio.Writer, b *Body) error {
+func writeChunks(w *bufio.Writer, b *Body, rest *attemptRest) error {
 	chunk := func(data []byte) {
 		if len(data) > 0 {
 			w.WriteString(strconv.FormatInt(int64(len(data)), 16) + "\r\n")
@@ -264,10 +274,13 @@
 		}
 	}
 	chunk(b.Data)
-	if b.Rest != nil {
+	if rest != nil {
+		if err := w.Flush(); err != nil { // the peer asks for the rest once it has this
+			return err
+		}
 		buf := make([]byte, 16<<10)
 		for {
-			n, err := b.Rest.Read(buf)
+			n, err := rest.Read(buf)
 			chunk(buf[:n])
 			if err == io.EOF {
 				break
@@ -296,6 +309,9 @@
 			if httpResp.StatusCode == http.StatusSwitchingProtocols {
 				return nil, false, errBadResponse
 			}
+			if httpResp.StatusCode == http.StatusContinue {
+				x.rest.peerAsks()
+			}
 			continue
 		}
 		if x.checkID {
@@ -391,27 +407,6 @@
 // reused, since a request might reach the peer while it closes the connection.
 const idleMargin = 500 * time.Millisecond
 
-// ReadBuffered reads at most MaxBufferedBody bytes of a body with the given length (-1 if
-// unknown) into memory. It returns whether that was the whole body.
-func ReadBuffered(r io.Reader, length int64) ([]byte, bool, error) {
-	if length == 0 {
-		return nil, true, nil
-	}
-	if length > 0 && length <= MaxBufferedBody {
-		data := make([]byte, length)
-		if _, err := io.ReadFull(r, data); err != nil {
-			return nil, false, err
-		}
-		// A body of known length is not chunked, so no trailer remains to be read.
-		return data, true, nil
-	}
-	data, err := io.ReadAll(io.LimitReader(r, MaxBufferedBody))
-	if err != nil {
-		return nil, false, err
-	}
-	return data, len(data) < MaxBufferedBody, nil
-}
-
 // streamedBody is the part of a response body that is not buffered. Its connection is
 // not reused.
 type streamedBody struct {
--- a/internal/hop/peer.go
+++ b/internal/hop/peer.go
@@ -37,6 +37,14 @@
 // for concurrent use.
 func (p *Pool) UseKeys(keyOf func(addr string) string) { p.keyOf = keyOf }
 
+// UseBodyOnDemand makes the pool hold back the rest of request bodies to the nodes for which asks
+// returns true, until they ask for it. Nodes of earlier releases do not. asks must be safe for
+// concurrent use.
+func (p *Pool) UseBodyOnDemand(asks func(addr string) bool) { p.asks = asks }
+
+// asksForBody reports whether the node at an address asks for the rest of request bodies.
+func (p *Pool) asksForBody(addr string) bool { return p.asks != nil && p.asks(addr) }
+
 // setKey adds the key of the node at an address to a request and returns whether it has one.
 func (p *Pool) setKey(h http.Header, addr string) bool {
 	if p.keyOf == nil {
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -23,6 +23,7 @@
 	maxIdle time.Duration // connections idle for longer are closed
 	sockets *sockets.Budget
 	keyOf   func(addr string) string // nil if no address has a key
+	asks    func(addr string) bool   // nil if no node asks for the rest of request bodies
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address; most recently used last
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -27,7 +27,13 @@
 	}
 	setTargetLimit(h, c.TargetLimit)
 	setMaxWait(h, c.MaxWait)
-	resp, err := p.do(ctx, exchange{addr: addr, call: c, header: h, accept: (*Response).readCallHeaders, choice: recentIf(!c.Idempotent || c.Repeated)})
+	hold := c.Body.Rest != nil && p.asksForBody(addr)
+	if hold {
+		setAhead(h, &c.Body)
+	}
+	resp, err := p.do(ctx, exchange{
+		addr: addr, call: c, header: h, accept: (*Response).readCallHeaders, choice: recentIf(!c.Idempotent || c.Repeated), hold: hold,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/hop/serve.go
+++ b/internal/hop/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,46 +10,6 @@
 	"github.com/teaselseam/teaselseam/platform"
 )
 
-// ErrBodyTooLarge is returned if a request body exceeds the limit.
-var ErrBodyTooLarge = errors.New("request body exceeds the size limit")
-
-// ReadBody reads up to MaxBufferedBody bytes of a request body and leaves the rest to
-// be streamed. A limit of zero means no limit.
-func ReadBody(r *http.Request, limit int64) (Body, error) {
-	if limit > 0 && r.ContentLength > limit {
-		return Body{}, ErrBodyTooLarge
-	}
-	data, whole, err := ReadBuffered(r.Body, r.ContentLength)
-	if err != nil {
-		return Body{}, fmt.Errorf("read request body: %w", err)
-	}
-	if whole {
-		return Body{Data: data, Length: int64(len(data))}, nil
-	}
-	rest := io.Reader(r.Body)
-	if limit > 0 && r.ContentLength < 0 {
-		rest = &limitedReader{r: r.Body, remaining: limit - int64(len(data)), exceeded: ErrBodyTooLarge}
-	}
-	return Body{Data: data, Rest: rest, Length: r.ContentLength}, nil
-}
-
-// limitedReader fails once the limit is exceeded. Unlike io.LimitedReader it never
-// reports io.EOF there, so that a body that is too long is aborted instead of being
-// passed on truncated.
-type limitedReader struct {
-	r         io.Reader
-	remaining int64
-	exceeded  error // returned once more than the remaining bytes were read
-}
-
-func (l *limitedReader) Read(b []byte) (int, error) {
-	n, err := l.r.Read(b)
-	if l.remaining -= int64(n); l.remaining < 0 {
-		return 0, l.exceeded
-	}
-	return n, err
-}
-
 // ReadCall reads a call sent by another node.
 func ReadCall(r *http.Request, now time.Time) (*Call, error) {
 	c := &Call{
@@ -70,11 +28,14 @@
 	}
 	c.AskConfig, c.TargetLimit = len(c.Header[askConfigHeader]) > 0, limit
 	RemoveNodeHeaders(c.Header)
-	body, err := ReadBody(r, 0)
+	ahead, waits, err := readAhead(r.Header)
 	if err != nil {
 		return nil, err
 	}
-	c.Body = body
+	if c.Body, err = readBody(r, 0, ahead); err != nil {
+		return nil, err
+	}
+	c.bodyWaits = waits
 	return c, nil
 }
 
--- a/internal/retry/decision.go
+++ b/internal/retry/decision.go
@@ -20,7 +20,8 @@
 // Call is what the decision needs to know of a call.
 type Call struct {
 	Idempotent  bool
-	Repeatable  bool // its body can be sent again
+	Repeatable  bool // its body can be sent again, also after a backend server has received it
+	BodyLost    bool // part of its body was passed on and is not held any more
 	MaxAttempts int  // backend servers that may run it
 }
 
@@ -93,6 +94,8 @@
 // has been recorded.
 func (p *Progress) Next(c Call, last Attempt) Verdict {
 	switch {
+	case c.BodyLost: // what is left of it must not be taken for the whole
+		return End
 	case p.Runs >= c.MaxAttempts, !p.EndpointsLeft(), p.OverloadRefusals >= maxOverloadRefusals:
 		return End
 	case !c.Repeatable && (last.ReachedBackend || last.Outcome != request.NotRun):
--- a/internal/retry/decision_test.go
+++ b/internal/retry/decision_test.go
@@ -62,6 +62,23 @@
 	})
 }
 
+// TestLostBodyEnds guards against sending what is left of a body as the whole: once part of it was
+// passed on and is gone, no outcome leads to another attempt.
+func TestLostBodyEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Call{Idempotent: rapid.Bool().Draw(t, "idempotent"), BodyLost: true, MaxAttempts: 3}
+		var p Progress
+		a := drawAttempt(t)
+		p.Record(a)
+		if v := p.Next(c, a); v != End {
+			t.Fatalf("%v after %+v", v, a)
+		}
+		if p.MayAbandon(c) {
+			t.Fatal("an attempt that has the body may be abandoned")
+		}
+	})
+}
+
 // TestNaiveMultiplies shows the failure that a single decision at the hop next to the
 // failure prevents: with three attempts at each hop, a service that always fails gets
 // 3^depth calls. With failures that are final further up, only the last hop repeats.
--- a/internal/sidecar/attempts.go
+++ b/internal/sidecar/attempts.go
@@ -30,7 +30,8 @@
 
 // retryCall returns what the decision on a retry needs to know of a call.
 func retryCall(c *hop.Call, route *catalog.Route) retry.Call {
-	return retry.Call{Idempotent: c.Idempotent, Repeatable: c.Body.Repeatable(), MaxAttempts: route.MaxAttempts}
+	repeatable := c.Body.Repeatable()
+	return retry.Call{Idempotent: c.Idempotent, Repeatable: repeatable, BodyLost: !repeatable, MaxAttempts: route.MaxAttempts}
 }
 
 // retryAttempt returns what the decision on a retry needs to know of an attempt.
@@ -117,6 +118,7 @@
 	if ctx.Err() != nil || !time.Now().Before(c.Deadline) || resp.Refusal != nil && resp.Refusal.Reason == request.ReasonCallerLeft {
 		return false
 	}
+	c.Body.Retract() // the last attempt must not begin to read the rest any more
 	switch p.Next(retryCall(c, route), retryAttempt(resp)) {
 	case retry.Free:
 		return true
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -133,7 +133,9 @@
 		ctx, cancel = presence.Watch(ctx)
 		defer cancel()
 	}
+	endBody := c.AskForBody(w)
 	resp := g.handle(ctx, c)
+	endBody()
 	if c.AskConfig {
 		resp.Config = g.n.state.configFreshness()
 	}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -49,6 +49,9 @@
 		w.Header()["Connection"] = []string{"close"}
 	}
 	if resp.Refusal != nil { // also if the caller has left: without it the server would send an empty success
+		if c != nil && c.Body.Rest != nil {
+			w.Header()["Connection"] = []string{"close"} // otherwise the server would read the rest of the body first
+		}
 		n.writeRefusal(w, r, h.ID, resp.Refusal)
 	} else {
 		hop.WriteToCaller(w, resp)
--- a/internal/sidecar/member.go
+++ b/internal/sidecar/member.go
@@ -45,7 +45,7 @@
 	b := m.n.guard.announcement()
 	return fleet.Member{
 		Node: s.Node, Address: s.PeerAddress, DataCentre: s.DataCentre, Incarnation: m.n.incarnation,
-		Serving: !m.n.stopping.Load(), Key: *m.n.key.Load(),
+		Serving: !m.n.stopping.Load(), Key: *m.n.key.Load(), BodyOnDemand: true,
 		Backend:    fleet.Backend{ID: b.ID, Service: b.Service, Slots: b.Slots, State: b.State, Born: b.Born},
 		Departures: m.n.guard.departures(),
 	}
--- a/internal/sidecar/monitor.go
+++ b/internal/sidecar/monitor.go
@@ -30,7 +30,7 @@
 func (n *Node) abandonRule(c *hop.Call, route *catalog.Route, p progress, tried []string) func() bool {
 	return func() bool {
 		return !n.stopping.Load() && p.MayAbandon(retryCall(c, route)) &&
-			n.balancer.hasAlternative(c.Service, tried) && n.retryBudgets.take(n, c.Service, true)
+			n.balancer.hasAlternative(c.Service, tried) && n.retryBudgets.take(n, c.Service, true) && c.Body.Retract()
 	}
 }
 
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -16,11 +16,16 @@
 	keys map[string]string // by address
 	// earlier holds the IPs of nodes of an earlier release, which have no key and know none.
 	earlier map[string]bool
+	// onDemand holds the addresses of nodes that ask for the rest of request bodies.
+	onDemand map[string]bool
 }
 
 func newPeerDirectory(members []*fleet.Member) *peerDirectory {
-	d := &peerDirectory{keys: map[string]string{}, earlier: map[string]bool{}}
+	d := &peerDirectory{keys: map[string]string{}, earlier: map[string]bool{}, onDemand: map[string]bool{}}
 	for _, m := range members {
+		if m.BodyOnDemand {
+			d.onDemand[m.Address] = true
+		}
 		if m.Key != "" {
 			d.keys[m.Address] = m.Key
 		} else if host, _, err := net.SplitHostPort(m.Address); err == nil {
@@ -33,6 +38,9 @@
 // keyOf returns the key of the node at an address; empty if it has none.
 func (n *Node) keyOf(address string) string { return n.state.peers.Load().keys[address] }
 
+// asksForBody reports whether the node at an address asks for the rest of request bodies.
+func (n *Node) asksForBody(address string) bool { return n.state.peers.Load().onDemand[address] }
+
 // newKey returns a new key for a node.
 func newKey() string {
 	var key [fleet.KeyBytes]byte
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -128,6 +128,7 @@
 	n.histograms = newHistograms(n.metrics)
 	n.store.Observe = n.observeStoreCall
 	n.peers.UseKeys(n.keyOf)
+	n.peers.UseBodyOnDemand(n.asksForBody)
 	n.key.Store(new(string))
 	if s.FirstStart {
 		n.setKey(newKey())
--- /dev/null
+++ b/internal/sidecar/upload_test.go
@@ -0,0 +1,179 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/request"
+	"github.com/teaselseam/teaselseam/platform"
+)
+
+// uploads sends request bodies that are too long to be held and finds the ones of which a
+// backend server has run another body than was sent.
+type uploads struct {
+	*cluster
+	mu     sync.Mutex
+	bodies map[string]string // by request ID
+}
+
+func newUploads(c *cluster) *uploads { return &uploads{cluster: c, bodies: map[string]string{}} }
+
+// post sends a body of a size to a node, in chunks or with its length.
+func (u *uploads) post(n *testNode, path string, size int, chunked bool) (id string, r reply) {
+	id = newID()
+	body := strings.Repeat(id+" ", size/(len(id)+1)+1)[:size]
+	u.mu.Lock()
+	u.bodies[id] = body
+	u.mu.Unlock()
+	reader := io.Reader(strings.NewReader(body))
+	if chunked {
+		reader = struct{ io.Reader }{reader}
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.settings.CallerAddress+path, reader)
+	if err != nil {
+		return id, reply{err: err}
+	}
+	req.Host = "shop.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", "3000")
+	req.Header.Set("Authorization", "Bearer key-guild")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return id, reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return id, reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// check reports the runs of a body that was not sent, and returns how often each request ran.
+func (u *uploads) check() map[string]int {
+	u.t.Helper()
+	runs := map[string]int{}
+	for _, n := range u.nodes {
+		for _, e := range n.backend.Executions() {
+			if want := u.bodies[e.ID]; e.Body != want {
+				u.t.Errorf("%s ran with %d bytes, sent were %d", e.ID, len(e.Body), len(want))
+			}
+			runs[e.ID]++
+		}
+	}
+	return runs
+}
+
+// TestUploadRefusedByNode guards against sending another node the part of a long body that is
+// left once a first one has refused the call: its backend server would run that part as the
+// whole. A call whose rest was not passed on is served elsewhere; another is refused truthfully.
+func TestUploadRefusedByNode(t *testing.T) {
+	for _, reason := range []request.Reason{request.ReasonNoBackend, request.ReasonDraining, request.ReasonOverload} {
+		for _, taken := range []bool{false, true} {
+			for _, chunked := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s,taken=%t,chunked=%t", reason, taken, chunked), func(t *testing.T) {
+					testUploadRefused(t, reason, taken, chunked)
+				})
+			}
+		}
+	}
+}
+
+// testUploadRefused makes the first node that gets an upload refuse it, after it has taken the
+// rest of the body if taken is set.
+func testUploadRefused(t *testing.T, reason request.Reason, taken, chunked bool) {
+	c := prepareCluster(t, "mill", "stock", "stock", "stock", "stock", "stock") // a refusal takes a node out for a while
+	var refused sync.Map
+	c.wrapPeerHandler = func(_ *testNode, h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if _, again := refused.LoadOrStore(platform.ReadRequestHeader(r.Header).ID, true); again || !hop.IsCall(r) || r.Method != http.MethodPost {
+				h.ServeHTTP(w, r)
+				return
+			}
+			if taken {
+				w.WriteHeader(http.StatusContinue)
+				io.Copy(io.Discard, r.Body)
+			} else {
+				time.Sleep(50 * time.Millisecond) // for the rest, if it is sent without being asked for
+				w.Header().Set("Connection", "close")
+			}
+			resp := hop.Refused(reason, 0)
+			resp.RetryElsewhere = true
+			hop.WriteToNode(w, resp)
+		})
+	}
+	c.start()
+	u := newUploads(c)
+	for i := range 3 {
+		id, r := u.post(c.nodes[0], "/stock/order/1", 300_000+i*50_000, chunked)
+		runs := u.check()[id]
+		switch {
+		case r.err != nil:
+			t.Error(r.err)
+		case taken && (r.status != http.StatusServiceUnavailable || runs != 0):
+			t.Errorf("the rest was taken: %d %s, %d runs, want a refusal and none", r.status, r.body, runs)
+		case !taken && (!r.served() || runs != 1):
+			t.Errorf("the rest was not taken: %d %s, %d runs, want it served elsewhere", r.status, r.body, runs)
+		}
+	}
+}
+
+// TestStalledUploadIsRefusedAtOnce guards against holding a refusal until the caller has sent the
+// rest of its body.
+func TestStalledUploadIsRefusedAtOnce(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	c.nodes[0].killBackend()
+	c.eventually("the backend server is known to be down", func() bool { return !c.get(c.nodes[1], "/stock/view/1", "key-guild").served() })
+	for _, framing := range []string{"Transfer-Encoding: chunked\r\n\r\n493E0\r\n", "Content-Length: 450000\r\n\r\n"} {
+		conn, err := net.Dial("tcp", c.nodes[1].settings.CallerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /stock/order/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: 5000\r\n"+
+			"Authorization: Bearer key-guild\r\n%s%s", newID(), framing, strings.Repeat("x", 300_000))
+		conn.SetReadDeadline(time.Now().Add(time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("%.17q: got %v, %v within a second, want 503", framing, resp, err)
+		}
+	}
+}
+
+// TestUploadsWithBackendDown replays long uploads from all nodes while one backend server of four
+// is down. It guards against running parts of bodies, and against giving up uploads that
+// another backend server can take.
+func TestUploadsWithBackendDown(t *testing.T) {
+	c := newCluster(t, "stock", "stock", "stock", "stock", "mill", "mill")
+	u := newUploads(c)
+	c.nodes[0].killBackend()
+	var served, sent atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 120 {
+		time.Sleep(10 * time.Millisecond)
+		wg.Go(func() {
+			id, r := u.post(c.nodes[i%len(c.nodes)], "/stock/order/1", 300_000+i*1000, i%2 == 0)
+			if sent.Add(1); r.served() {
+				served.Add(1)
+			} else {
+				t.Logf("%s: %d %s %v", id, r.status, r.body, r.err)
+			}
+		})
+	}
+	wg.Wait()
+	for id, n := range u.check() {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+	t.Logf("%d of %d uploads served", served.Load(), sent.Load())
+	if served.Load() < sent.Load()*98/100 {
+		t.Errorf("%d of %d uploads served, want 98 in 100", served.Load(), sent.Load())
+	}
+}
