--- a/internal/sidecar/suspects_test.go
+++ b/internal/sidecar/suspects_test.go
@@ -1,14 +1,18 @@
 package sidecar
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/uuid"
+	"golang.org/x/sys/unix"
 
 	"github.com/teaselseam/teaselseam/internal/backend"
 	"github.com/teaselseam/teaselseam/internal/fleet"
@@ -137,35 +141,44 @@
 		t.Fatal(refusal)
 	}
 	defer finish(0)
-	// Connections to this address are lost: nothing accepts them and its queue is full.
-	l, err := net.Listen("tcp", freeAddress(t))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	fillBacklog(t, l.Addr().String())
+	address, closeListener := listenWithoutAccepting(t)
 	suspects := func() int { return len(c.nodes[0].node.crashes.status()) }
-	g.checkCrashed(l.Addr().String(), backend.Incarnation{})
+	g.checkCrashed(address, backend.Incarnation{})
 	if got := suspects(); got > 0 {
 		t.Errorf("%d suspects of a crash after a connection that was not accepted", got)
 	}
-	l.Close()
-	g.checkCrashed(l.Addr().String(), backend.Incarnation{})
+	closeListener()
+	g.checkCrashed(address, backend.Incarnation{})
 	if got := suspects(); got != 1 {
 		t.Errorf("%d suspects of a crash after a refused connection, want 1", got)
 	}
 }
 
-// fillBacklog opens connections to a listener that accepts none until further ones are not
-// established.
-func fillBacklog(t *testing.T, address string) {
+// listenWithoutAccepting listens on an address whose queue of new connections is full: opening
+// packets are dropped.
+func listenWithoutAccepting(t *testing.T) (address string, stop func()) {
 	t.Helper()
-	for range 5000 {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop = sync.OnceFunc(func() { unix.Close(fd) })
+	t.Cleanup(stop)
+	if err := errors.Join(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), unix.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	own, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = fmt.Sprintf("127.0.0.1:%d", own.(*unix.SockaddrInet4).Port)
+	for range 10 {
 		conn, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
 		if err != nil {
-			return
+			return address, stop
 		}
 		t.Cleanup(func() { conn.Close() })
 	}
 	t.Fatal("the queue of the listener does not fill")
+	return "", nil
 }
