An answer without a length is whole only if its connection ended in order

Cause: the kernel tells an error of a connection once, to a write or a read. The side that writes the upload was told, and the side that reads saw a plain end, which ends a body without a length. The writer's result was used for the reuse of the connection only.

Change: such a body ends only if the request was written without an error, or is still being written on a connection that the peer has not closed in both directions. A response to HTTP/1.0 that is cut off ends with a reset.

--- a/internal/ahead/ahead.go
+++ b/internal/ahead/ahead.go
@@ -314,6 +314,14 @@
 	return nil
 }
 
+// ResetOnClose makes Close reset the connection. A caller that takes the end of the connection
+// for the end of the response would otherwise take a part of it for the whole.
+func (c *Conn) ResetOnClose() {
+	if tc, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tc.SetLinger(0) // fails only if it is closed
+	}
+}
+
 func (c *Conn) linger() {
 	defer c.listener.lingering.Add(-1)
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) // fails only if it is closed
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -176,7 +176,10 @@
 		// Some data may have been sent although the write failed.
 		return nil, false, &Error{Sent: true, Err: err}
 	}
-	resp, keep, err := c.receive(x)
+	if !writing {
+		written = nil
+	}
+	resp, keep, err := c.receive(x, written)
 	x.rest.answered()
 	if err != nil {
 		if writing {
@@ -207,7 +210,7 @@
 
 // send writes the request. It returns true if the body is still being written in the
 // background; the result is then sent on written.
-func (c *conn) send(x exchange, written chan<- error) (bool, error) {
+func (c *conn) send(x exchange, written chan error) (bool, error) {
 	call := x.call
 	c.w.WriteString(call.Method)
 	c.w.WriteByte(' ')
@@ -297,8 +300,9 @@
 	return w.Flush()
 }
 
-// receive reads the response and returns whether the connection may be reused.
-func (c *conn) receive(x exchange) (*Response, bool, error) {
+// receive reads the response and returns whether the connection may be reused. written receives
+// the result of writing the request body; it is nil if that is done.
+func (c *conn) receive(x exchange, written chan error) (*Response, bool, error) {
 	keep := true
 	for range maxStaleResponses + 1 {
 		httpResp, err := c.readHead(x.call.Method)
@@ -330,7 +334,7 @@
 				c.refused(x.call.ID, rh.ID != "")
 			}
 		}
-		return c.readBody(x, httpResp, keep)
+		return c.readBody(x, httpResp, keep, written)
 	}
 	return nil, false, errBadResponse
 }
@@ -374,7 +378,7 @@
 
 // readBody reads the body of a response and returns whether the connection may be
 // reused.
-func (c *conn) readBody(x exchange, httpResp *http.Response, keep bool) (*Response, bool, error) {
+func (c *conn) readBody(x exchange, httpResp *http.Response, keep bool, written chan error) (*Response, bool, error) {
 	framed := httpResp.ContentLength >= 0 || len(httpResp.TransferEncoding) > 0
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header, Length: httpResp.ContentLength}
 	if x.accept != nil {
@@ -385,6 +389,9 @@
 	if x.call.Method == http.MethodHead {
 		return resp, keep && !httpResp.Close && c.r.Buffered() == 0, nil
 	}
+	if !framed {
+		httpResp.Body = &unframedBody{ReadCloser: httpResp.Body, conn: c, written: written}
+	}
 	data, whole, err := ReadBuffered(httpResp.Body, httpResp.ContentLength)
 	if err != nil {
 		return nil, false, err
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -54,13 +54,26 @@
 		}
 		n.writeRefusal(w, r, h.ID, resp.Refusal)
 	} else {
-		hop.WriteToCaller(w, resp)
+		writeToCaller(w, r, resp, conn)
 	}
 	if c != nil {
 		n.durations.observe(c, resp)
 	}
 }
 
+// writeToCaller writes a backend server's response. A response to HTTP/1.0 may have no framing: if
+// it is cut off, the connection is reset.
+func writeToCaller(w http.ResponseWriter, r *http.Request, resp *hop.Response, conn *ahead.Conn) {
+	whole := false
+	defer func() {
+		if !whole && !r.ProtoAtLeast(1, 1) && conn != nil {
+			conn.ResetOnClose()
+		}
+	}()
+	hop.WriteToCaller(w, resp)
+	whole = true
+}
+
 // handleRequest admits or refuses a request and returns the response, and the call unless it is
 // refused before there is one.
 func (n *Node) handleRequest(r *http.Request, h platform.RequestHeader, arrived time.Time) (*hop.Response, *hop.Call) {
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -177,3 +177,27 @@
 		t.Errorf("%d of %d uploads served, want 98 in 100", served.Load(), sent.Load())
 	}
 }
+
+// TestCutResponseToHTTP10 guards against a caller without chunks that takes the end of its
+// connection for the end of a response which was cut off.
+func TestCutResponseToHTTP10(t *testing.T) {
+	c := newCluster(t, "stock", "mill")
+	c.nodes[0].backend.Intercept(func(w http.ResponseWriter, _ *http.Request) bool {
+		w.Header().Set("Response-Signature", "x")
+		io.WriteString(w, strings.Repeat("a", 400_000))
+		http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	})
+	conn, err := net.Dial("tcp", c.nodes[1].settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "GET /stock/view/1 HTTP/1.0\r\nHost: shop.example\r\nRequest-Id: %s\r\nDeadline-Ms: 2000\r\nAuthorization: Bearer key-guild\r\n\r\n", newID())
+	conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+	data, err := io.ReadAll(conn)
+	if err == nil && strings.Contains(string(data[:min(len(data), 20)]), " 200 ") {
+		t.Errorf("%d bytes of a response that was cut off end in order", len(data))
+	}
+}
