Malformed answers are no answers, wherever they are read

Callers got a signed 200 with a body that was not the backend server's after a head with 'Content-Length : 3' or 'Transfer-Encoding : chunked', heads with a line dropped, and whatever followed a status of 000 or 099.

Cause: http.ReadResponse drops fields whose names are no tokens, so that what follows is framed in another way than it was sent, and every status below 200 was taken for an interim response.

Change: httpcheck.Reader stands between the connection and the parser for calls, health checks, nodes among themselves and the store. It follows the framing and fails before the end of the first malformed line, in interim answers and trailers too. The exchange may have run, and its connection is closed.

--- a/cmd/teaselseam/main.go
+++ b/cmd/teaselseam/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/teaselseam/teaselseam/internal/httpcheck"
 	"github.com/teaselseam/teaselseam/internal/operator"
 	"github.com/teaselseam/teaselseam/internal/workspace"
 	"github.com/teaselseam/teaselseam/platform"
@@ -93,9 +94,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
+	store := platform.NewStore(c.Store, nil)
+	store.WrapConn = httpcheck.WrapConn
 	s := &session{
 		ctx: ctx, in: in, output: &printer{out: out, asJSON: c.Output == "json"},
-		client: operator.New(platform.NewStore(c.Store, nil), c.Actor),
+		client: operator.New(store, c.Actor),
 	}
 	if err = k.Run(s); err != nil {
 		fmt.Fprintln(errOut, "teaselseam:", workspace.Redact(err.Error()))
--- a/internal/hop/conn.go
+++ b/internal/hop/conn.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/teaselseam/teaselseam/internal/httpcheck"
 )
 
 // Buffer sizes of a connection, in bytes. Most requests and response headers fit.
@@ -57,7 +59,8 @@
 // limitHead only, so that a cancelled exchange never gets more time.
 type conn struct {
 	net.Conn
-	r               *bufio.Reader // reads from received
+	r               *bufio.Reader     // reads from responses
+	responses       *httpcheck.Reader // reads from received
 	received        *meteredReader
 	w               *bufio.Writer
 	raw             syscall.RawConn
@@ -77,9 +80,10 @@
 
 func newConn(nc net.Conn) *conn {
 	received := &meteredReader{r: nc, remaining: unmetered}
+	responses := httpcheck.NewReader(received)
 	return &conn{
-		Conn: nc, received: received,
-		r: bufio.NewReaderSize(received, readBuffer), w: bufio.NewWriterSize(nc, writeBuffer),
+		Conn: nc, received: received, responses: responses,
+		r: bufio.NewReaderSize(responses, readBuffer), w: bufio.NewWriterSize(nc, writeBuffer),
 	}
 }
 
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -212,6 +212,7 @@
 // background; the result is then sent on written.
 func (c *conn) send(x exchange, written chan error) (bool, error) {
 	call := x.call
+	c.responses.Expect(call.Method)
 	c.w.WriteString(call.Method)
 	c.w.WriteByte(' ')
 	c.w.WriteString(call.URI)
@@ -387,7 +388,7 @@
 		}
 	}
 	if x.call.Method == http.MethodHead {
-		return resp, keep && !httpResp.Close && c.r.Buffered() == 0, nil
+		return resp, keep && !httpResp.Close && c.drained(), nil
 	}
 	if !framed {
 		httpResp.Body = &unframedBody{ReadCloser: httpResp.Body, conn: c, written: written}
@@ -407,9 +408,12 @@
 	}
 	resp.Length = int64(len(data))
 	c.peerIdleTimeout = platform.ReadResponseHeader(httpResp.StatusCode, httpResp.Header).IdleTimeout
-	return resp, keep && framed && !httpResp.Close && c.r.Buffered() == 0, nil
+	return resp, keep && framed && !httpResp.Close && c.drained(), nil
 }
 
+// drained reports whether nothing that was received follows the last response.
+func (c *conn) drained() bool { return c.r.Buffered() == 0 && c.responses.Idle() }
+
 // idleMargin is how long before the peer's idle timeout a connection is no longer
 // reused, since a request might reach the peer while it closes the connection.
 const idleMargin = 500 * time.Millisecond
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -33,6 +33,7 @@
 
 	"github.com/teaselseam/teaselseam/internal/ahead"
 	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/httpcheck"
 	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/sockets"
@@ -127,6 +128,7 @@
 	n.pendingSettings.Store(&[]string{})
 	n.histograms = newHistograms(n.metrics)
 	n.store.Observe = n.observeStoreCall
+	n.store.WrapConn = httpcheck.WrapConn
 	n.peers.UseKeys(n.keyOf)
 	n.peers.UseBodyOnDemand(n.asksForBody)
 	n.key.Store(new(string))
