What a node holds of bodies is bounded by its memory

A node with several hundred callers that read slowly, long uploads and a backend server that answers without end grew beyond its memory (200 MB by the users' measurement, on VMs of 184 MB), which would end its process and the requests of all others.

Cause: bodies were bounded one by one (256 KB), and together only by a number of requests. A slot of the backend server is free once an answer is buffered, so the number of buffers is that of the callers.

Ruled out: a single answer without a bound; heads and buffered bodies have one.

Change: package memory. What is buffered of the bodies of requests and responses is taken from a fifth of memoryMb. When that is short, less is buffered and the rest is streamed, of long bodies first; once nothing is left new requests are refused before they run. The fingerprint of a body that is not held whole is taken of its beginning.

--- a/internal/hop/body.go
+++ b/internal/hop/body.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"sync"
+
+	"github.com/teaselseam/teaselseam/internal/memory"
 )
 
 // Body is a request body. Data holds all of it, or its beginning if Rest is set.
@@ -18,8 +20,13 @@
 	Data   []byte
 	Rest   io.Reader // what follows Data; nil if Data is the whole body
 	Length int64     // length of the whole body; -1 if unknown
+
+	memory *memory.Reservation // for Data; nil if it is not accounted for
 }
 
+// Release gives back the memory of the body once it is not needed any more.
+func (b *Body) Release() { b.memory.Release() }
+
 var (
 	// errRestTaken is returned to an attempt that may not read the rest of the request body:
 	// another attempt has begun to, or the attempt is over.
@@ -162,29 +169,35 @@
 // ErrBodyTooLarge is returned if a request body exceeds the limit.
 var ErrBodyTooLarge = errors.New("request body exceeds the size limit")
 
-// ReadBody reads up to MaxBufferedBody bytes of a request body and leaves the rest to
-// be streamed. A limit of zero means no limit.
-func ReadBody(r *http.Request, limit int64) (Body, error) {
-	return readBody(r, limit, MaxBufferedBody)
+// ReadBody reads up to MaxBufferedBody bytes of a request body, or less if there is no room for
+// them in the budget, and leaves the rest to be streamed. A limit of zero means no limit. The body
+// must be released.
+func ReadBody(r *http.Request, limit int64, budget *memory.Budget) (Body, error) {
+	return readBody(r, limit, MaxBufferedBody, budget)
 }
 
 // readBody is ReadBody for at most buffered bytes.
-func readBody(r *http.Request, limit int64, buffered int) (Body, error) {
+func readBody(r *http.Request, limit int64, buffered int, budget *memory.Budget) (Body, error) {
 	if limit > 0 && r.ContentLength > limit {
 		return Body{}, ErrBodyTooLarge
 	}
-	data, whole, err := readBuffered(r.Body, r.ContentLength, buffered)
+	if r.ContentLength == 0 {
+		return Body{}, nil
+	}
+	reserved := budget.Reserve()
+	data, whole, err := readBuffered(r.Body, r.ContentLength, buffered, reserved)
 	if err != nil {
+		reserved.Release()
 		return Body{}, fmt.Errorf("read request body: %w", err)
 	}
 	if whole {
-		return Body{Data: data, Length: int64(len(data))}, nil
+		return Body{Data: data, Length: int64(len(data)), memory: reserved}, nil
 	}
 	rest := io.Reader(r.Body)
 	if limit > 0 && r.ContentLength < 0 {
 		rest = &limitedReader{r: r.Body, remaining: limit - int64(len(data)), exceeded: ErrBodyTooLarge}
 	}
-	return Body{Data: data, Rest: &bodyRest{r: rest}, Length: r.ContentLength}, nil
+	return Body{Data: data, Rest: &bodyRest{r: rest}, Length: r.ContentLength, memory: reserved}, nil
 }
 
 // limitedReader fails once the limit is exceeded. Unlike io.LimitedReader it never
@@ -204,29 +217,43 @@
 	return n, err
 }
 
-// ReadBuffered reads at most MaxBufferedBody bytes of a body with the given length (-1 if
-// unknown) into memory. It returns whether that was the whole body.
-func ReadBuffered(r io.Reader, length int64) ([]byte, bool, error) {
-	return readBuffered(r, length, MaxBufferedBody)
-}
-
-func readBuffered(r io.Reader, length int64, limit int) ([]byte, bool, error) {
+// readBuffered reads at most limit bytes of a body with the given length (-1 if unknown) into
+// memory, and no more than there is room for. It returns whether that was the whole body.
+func readBuffered(r io.Reader, length int64, limit int, reserved *memory.Reservation) ([]byte, bool, error) {
 	if length == 0 {
 		return nil, true, nil
 	}
-	if length > 0 && length <= int64(limit) {
-		data := make([]byte, length)
+	if length > 0 {
+		want := min(length, int64(limit))
+		if !reserved.GrowTo(want) {
+			want = min(want, memory.Floor)
+		}
+		data := make([]byte, want)
 		if _, err := io.ReadFull(r, data); err != nil {
 			return nil, false, err
 		}
 		// A body of known length is not chunked, so no trailer remains to be read.
-		return data, true, nil
+		return data, want == length, nil
 	}
-	data, err := io.ReadAll(io.LimitReader(r, int64(limit)))
-	if err != nil {
-		return nil, false, err
+	data := make([]byte, 0, min(memory.Floor, limit))
+	for {
+		n, err := r.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err == io.EOF {
+			return data, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		if len(data) < cap(data) {
+			continue
+		}
+		size := min(2*cap(data), limit)
+		if size == cap(data) || !reserved.GrowTo(int64(size)) {
+			return data, false, nil
+		}
+		data = append(make([]byte, 0, size), data...)
 	}
-	return data, len(data) < limit, nil
 }
 
 // Between nodes, the rest of a body is sent on demand. The sender states in aheadHeader how much
--- a/internal/hop/doc.go
+++ b/internal/hop/doc.go
@@ -46,13 +46,14 @@
 	"net/http"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/memory"
 	"github.com/teaselseam/teaselseam/internal/pressure"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
-// MaxBufferedBody is the size in bytes up to which bodies are buffered in memory.
-// Larger ones are streamed. The largest bodies that users send are 36 KB.
+// MaxBufferedBody is the size in bytes up to which bodies are buffered in memory, if there is room
+// (package memory). Larger ones are streamed. The largest bodies that users send are 36 KB.
 const MaxBufferedBody = 256 << 10
 
 // Call is a request of a caller, or an internal call of a backend server, that is
@@ -159,11 +160,17 @@
 	// Condition is what the backend server states about itself with its response; nil if
 	// the response is not from the call's backend server. It is not passed on to other nodes.
 	Condition *platform.Condition
+
+	memory *memory.Reservation // for Body; nil if it is not accounted for
 }
 
-// Close releases the connection of a response whose body was not read to the end.
+// Close releases the memory of a response, and its connection if the body was not read to the end.
 func (resp *Response) Close() {
-	if resp != nil && resp.Rest != nil {
+	if resp == nil {
+		return
+	}
+	resp.memory.Release()
+	if resp.Rest != nil {
 		_ = resp.Rest.Close() // the connection is not reused, so a failure to close it does not matter
 	}
 }
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/memory"
 	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/sockets"
 	"github.com/teaselseam/teaselseam/platform"
@@ -86,6 +87,9 @@
 	// hold is set if the peer asks for the rest of the request body.
 	hold bool
 	rest *attemptRest // of the request body; nil if there is none
+	// memory is the budget for the body of the response, which must be closed; nil if that is
+	// not accounted for.
+	memory *memory.Budget
 }
 
 // connChoice is the idle connection that an exchange may reuse. It opens a new one if there
@@ -393,8 +397,12 @@
 	if !framed {
 		httpResp.Body = &unframedBody{ReadCloser: httpResp.Body, conn: c, written: written}
 	}
-	data, whole, err := ReadBuffered(httpResp.Body, httpResp.ContentLength)
+	if httpResp.ContentLength != 0 {
+		resp.memory = x.memory.Reserve()
+	}
+	data, whole, err := readBuffered(httpResp.Body, httpResp.ContentLength, MaxBufferedBody, resp.memory)
 	if err != nil {
+		resp.memory.Release()
 		return nil, false, err
 	}
 	resp.Body = data
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/memory"
 	"github.com/teaselseam/teaselseam/internal/sockets"
 )
 
@@ -24,6 +25,7 @@
 	sockets *sockets.Budget
 	keyOf   func(addr string) string // nil if no address has a key
 	asks    func(addr string) bool   // nil if no node asks for the rest of request bodies
+	memory  *memory.Budget           // for the bodies of responses to calls; nil for no limit
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address; most recently used last
@@ -47,6 +49,10 @@
 	return p
 }
 
+// UseMemory makes the pool take what it buffers of the responses to calls from a budget. They must
+// be closed.
+func (p *Pool) UseMemory(b *memory.Budget) { p.memory = b }
+
 // get returns a reusable idle connection, or a new one.
 func (p *Pool) get(ctx context.Context, x exchange) (*conn, error) {
 	now := time.Now()
--- a/internal/hop/send.go
+++ b/internal/hop/send.go
@@ -32,7 +32,7 @@
 		setAhead(h, &c.Body)
 	}
 	resp, err := p.do(ctx, exchange{
-		addr: addr, call: c, header: h, accept: (*Response).readCallHeaders, choice: recentIf(!c.Idempotent || c.Repeated), hold: hold,
+		addr: addr, call: c, header: h, accept: (*Response).readCallHeaders, choice: recentIf(!c.Idempotent || c.Repeated), hold: hold, memory: p.memory,
 	})
 	if err != nil {
 		return nil, err
@@ -56,7 +56,7 @@
 	})
 	var rh platform.ResponseHeader
 	resp, err := p.do(ctx, exchange{
-		addr: addr, call: c, header: h, checkID: true, choice: recentIf(!c.Idempotent),
+		addr: addr, call: c, header: h, checkID: true, choice: recentIf(!c.Idempotent), memory: p.memory,
 		accept: func(resp *Response) error {
 			RemoveNodeHeaders(resp.Header)
 			rh = platform.ReadResponseHeader(resp.Status, resp.Header)
--- a/internal/hop/serve.go
+++ b/internal/hop/serve.go
@@ -7,11 +7,12 @@
 	"strconv"
 	"time"
 
+	"github.com/teaselseam/teaselseam/internal/memory"
 	"github.com/teaselseam/teaselseam/platform"
 )
 
-// ReadCall reads a call sent by another node.
-func ReadCall(r *http.Request, now time.Time) (*Call, error) {
+// ReadCall reads a call sent by another node. Its body must be released.
+func ReadCall(r *http.Request, now time.Time, budget *memory.Budget) (*Call, error) {
 	c := &Call{
 		ID:     platform.ReadRequestHeader(r.Header).ID,
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: EndToEndHeaders(r.Header),
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.Body, err = readBody(r, 0, ahead); err != nil {
+	if c.Body, err = readBody(r, 0, ahead, budget); err != nil {
 		return nil, err
 	}
 	c.bodyWaits = waits
--- a/internal/sidecar/cluster_test.go
+++ b/internal/sidecar/cluster_test.go
@@ -213,12 +213,17 @@
 	}
 }
 
-func (c *cluster) startBackend(n *testNode, id string) {
+func (c *cluster) startBackend(n *testNode, id string) { c.startBackendAt(n, id, "") }
+
+// startBackendBehind starts a backend server that listens at another address than it announces.
+func (c *cluster) startBackendBehind(n *testNode, listen string) { c.startBackendAt(n, "", listen) }
+
+func (c *cluster) startBackendAt(n *testNode, id, listen string) {
 	if id == "" {
 		id = "i-" + n.settings.Node
 	}
 	b := standin.NewBackend(standin.BackendConfig{
-		ID: id, Service: n.settings.Service, Address: n.settings.BackendAddress, AnnounceAddress: n.settings.AnnounceAddress,
+		Listen: listen, ID: id, Service: n.settings.Service, Address: n.settings.BackendAddress, AnnounceAddress: n.settings.AnnounceAddress,
 		Slots: c.slots, ServiceTime: 5 * time.Millisecond, Cold: c.cold,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -13,6 +13,7 @@
 
 	"github.com/teaselseam/teaselseam/internal/fleet"
 	"github.com/teaselseam/teaselseam/internal/hop"
+	"github.com/teaselseam/teaselseam/internal/memory"
 	"github.com/teaselseam/teaselseam/internal/quarantine"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/platform"
@@ -54,12 +55,16 @@
 // that is sent again has the same fingerprint, although its request ID is new and it may
 // come through the node of another service.
 func fingerprint(c *hop.Call) quarantine.Fingerprint {
-	data := make([]byte, 0, len(c.Method)+len(c.URI)+len(c.Body.Data)+2)
+	held := c.Body.Data
+	if c.Body.Rest != nil { // how much is held depends on the memory that is left
+		held = held[:min(len(held), memory.Floor)]
+	}
+	data := make([]byte, 0, len(c.Method)+len(c.URI)+len(held)+2)
 	data = append(data, c.Method...)
 	data = append(data, ' ')
 	data = append(data, c.URI...)
 	data = append(data, '\n')
-	data = append(data, c.Body.Data...)
+	data = append(data, held...)
 	return quarantine.BodyFingerprint(c.Route, c.Workspace, data)
 }
 
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -54,6 +54,7 @@
 
 func newGuard(n *Node) *guard {
 	g := &guard{n: n, log: n.log, pool: hop.NewPool(backendDialTimeout, defaultBackendIdleTimeout, n.sockets), queue: newBackendQueue(), startedAt: time.Now()}
+	g.pool.UseMemory(n.memory)
 	g.server.AssumeCold(g.startedAt)
 	g.restored = n.settings.FirstStart // there was none
 	return g
@@ -121,12 +122,20 @@
 	id := platform.ReadRequestHeader(r.Header).ID
 	g.calls.add(id)
 	defer g.calls.remove(id)
-	c, err := hop.ReadCall(r, time.Now())
+	if g.n.memory.Full() {
+		w.Header()["Connection"] = []string{"close"} // a body stands unread
+		resp := hop.Refused(request.ReasonOverload, shortRetryAfter)
+		resp.RetryElsewhere = true
+		hop.WriteToNode(w, resp)
+		return
+	}
+	c, err := hop.ReadCall(r, time.Now(), g.n.memory)
 	if err != nil {
 		g.log.Warn("call from a peer cannot be parsed", "event", "guard", "peer", r.RemoteAddr, "err", err)
 		hop.WriteToNode(w, hop.Refused(request.ReasonBadRequest, 0))
 		return
 	}
+	defer c.Body.Release()
 	ctx := r.Context()
 	if c.Body.Rest != nil { // the server does not watch the sending node until it is read
 		var cancel context.CancelFunc
@@ -135,6 +144,7 @@
 	}
 	endBody := c.AskForBody(w)
 	resp := g.handle(ctx, c)
+	defer resp.Close()
 	endBody()
 	if c.AskConfig {
 		resp.Config = g.n.state.configFreshness()
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -22,8 +22,8 @@
 	// returnMargin is the time reserved for sending the response, so that it reaches the
 	// caller before the caller's deadline.
 	returnMargin = 20 * time.Millisecond
-	// maxActiveRequests bounds the concurrent requests of a node to bound its memory: each
-	// takes about 60 KB with its bodies.
+	// maxActiveRequests bounds the concurrent requests of a node to bound its memory, beside
+	// that of their bodies.
 	maxActiveRequests = 1500
 	// overShareRetryAfter is the Retry-After of refusals for workspaces above their rate.
 	overShareRetryAfter = 500 * time.Millisecond
@@ -45,6 +45,9 @@
 	h := platform.ReadRequestHeader(r.Header)
 	resp, c := n.handleRequest(r, h, arrived)
 	defer resp.Close()
+	if c != nil {
+		defer c.Body.Release()
+	}
 	if n.stopping.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
@@ -80,7 +83,7 @@
 	if n.closing.Load() {
 		return n.refusedByStop(), nil
 	}
-	if n.activeRequests.Load() > maxActiveRequests {
+	if n.activeRequests.Load() > maxActiveRequests || n.memory.Full() {
 		return hop.Refused(request.ReasonOverload, shortRetryAfter), nil
 	}
 	cat := n.state.catalog.Load()
@@ -92,7 +95,7 @@
 		return refused, nil
 	}
 	service := n.balancer.chooseService(route)
-	body, err := hop.ReadBody(r, cat.Service(service).MaxBody)
+	body, err := hop.ReadBody(r, cat.Service(service).MaxBody, n.memory)
 	if err != nil {
 		if errors.Is(err, hop.ErrBodyTooLarge) {
 			return hop.Refused(request.ReasonBodyTooLarge, 0), nil
@@ -102,6 +105,7 @@
 	c := n.newCall(cat, r, h, route, ws, arrived, body)
 	c.Service = service
 	if !time.Now().Before(c.Deadline) { // it stood behind another request for too long
+		c.Body.Release()
 		return hop.Refused(request.ReasonDeadline, shortRetryAfter), nil
 	}
 	ctx, endWatch := r.Context(), func() {}
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -15,6 +15,7 @@
 	pending = restartSettings(n.settings, next)
 	n.bounds.Store(&next.Bounds)
 	n.sockets.SetLimit(next.Sockets)
+	n.memory.SetLimit(bodyMemory(next))
 	if old := n.storeAddress.Swap(&next.StoreAddress); *old != next.StoreAddress {
 		n.store.SetAddress(next.StoreAddress)
 		n.store.CloseIdle()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,6 +34,7 @@
 	"github.com/teaselseam/teaselseam/internal/ahead"
 	"github.com/teaselseam/teaselseam/internal/hop"
 	"github.com/teaselseam/teaselseam/internal/httpcheck"
+	"github.com/teaselseam/teaselseam/internal/memory"
 	"github.com/teaselseam/teaselseam/internal/obs"
 	"github.com/teaselseam/teaselseam/internal/presence"
 	"github.com/teaselseam/teaselseam/internal/sockets"
@@ -90,6 +91,7 @@
 	member         *memberRow
 	crashes        *crashTracker
 	sockets        *sockets.Budget
+	memory         *memory.Budget // for bodies
 	peers          *hop.Pool
 	retryBudgets   retryBudgets
 	responseTimes  responseTimes
@@ -121,6 +123,7 @@
 		store:       platform.NewStore(s.StoreAddress, hop.NewDialer(storeDialTimeout)),
 		metrics:     obs.NewMetrics(),
 		sockets:     sockets.New(s.Sockets),
+		memory:      memory.New(bodyMemory(s)),
 	}
 	n.peers = hop.NewPool(peerDialTimeout, peerIdleTimeout, n.sockets)
 	n.bounds.Store(&s.Bounds)
@@ -129,6 +132,7 @@
 	n.histograms = newHistograms(n.metrics)
 	n.store.Observe = n.observeStoreCall
 	n.store.WrapConn = httpcheck.WrapConn
+	n.peers.UseMemory(n.memory)
 	n.peers.UseKeys(n.keyOf)
 	n.peers.UseBodyOnDemand(n.asksForBody)
 	n.key.Store(new(string))
@@ -146,6 +150,12 @@
 	return n, n.listen()
 }
 
+// bodyMemoryRatio is the part of the memory limit of the platform that bodies may use. With what
+// the garbage collector adds they stay below the half that the heap should use.
+const bodyMemoryRatio = 0.2
+
+func bodyMemory(s *platform.Settings) int64 { return int64(bodyMemoryRatio * float64(s.MemoryBytes)) }
+
 // storeDialTimeout allows for a few round trips between data centres.
 const storeDialTimeout = 500 * time.Millisecond
 
@@ -254,11 +264,20 @@
 	return full
 }
 
+// recordMemory logs that there was no room for bodies since the count was last taken.
+func (n *Node) recordMemory(before uint64) uint64 {
+	short := n.memory.Short()
+	if short > before {
+		n.log.Warn("no memory was left for bodies", "event", "memory", "times", short-before, "held", n.memory.Used(), "limit", n.memory.Limit())
+	}
+	return short
+}
+
 // sweep periodically closes idle connections and drops expired crash records.
 func (n *Node) sweep(ctx context.Context) error {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
-	socketsFull := uint64(0)
+	socketsFull, memoryShort := uint64(0), uint64(0)
 	for {
 		select {
 		case <-ctx.Done():
@@ -266,6 +285,7 @@
 		case now := <-t.C: // when it was due
 			n.recordDelay(time.Since(now))
 			socketsFull = n.recordSockets(socketsFull)
+			memoryShort = n.recordMemory(memoryShort)
 			n.peers.Sweep(now)
 			n.guard.pool.Sweep(now)
 			n.crashes.expire()
