--- a/internal/sidecar/trials.go
+++ b/internal/sidecar/trials.go
@@ -48,11 +48,13 @@
 	return !known
 }
 
-// claim returns the nonce under which this node claims a trial.
+// claim returns the nonce under which this node claims a trial: the same each time, since an
+// earlier write may have been performed without a response.
 func (t *trials) claim(trial quarantine.Trial) uint64 {
-	nonce := rand.Uint64() | 1 // not zero
-	t.claims[trial] = nonce
-	return nonce
+	if t.claims[trial] == 0 {
+		t.claims[trial] = rand.Uint64() | 1
+	}
+	return t.claims[trial]
 }
 
 // claimed records under which nonce a trial is claimed, and holds it if that is this node's.
