An early long answer to an upload is not cut off

With the rest of uploads sent on demand, a caller got a part of an answer that came before the upload was read and was longer than what is held: 360,448 bytes of 2 MB (TestEarlyLongAnswerToUpload, through another node, in chunks).

Cause: net/http reads the rest of a request body itself before it writes a response, so it took what an attempt was sending; and an attempt that may not read the rest closed its connection while the answer was read from it.

Change: the server leaves the rest unread and closes the connection behind the response. The rest is asked for at the latest when a long answer begins, and an attempt that may not read it leaves the connection to the reader.

--- a/internal/hop/body.go
+++ b/internal/hop/body.go
@@ -64,6 +64,20 @@
 	mu    sync.Mutex
 	owner *attemptRest // the attempt that may begin to read; nil for none
 	begun bool         // an attempt has begun to read
+	eof   bool         // it has been read to its end
+}
+
+// ended reports whether the rest has been read to its end.
+func (r *bodyRest) ended() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.eof
+}
+
+func (r *bodyRest) setEnded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.eof = true
 }
 
 // Read implements io.Reader for Body.Rest. Attempts read through attemptRest.
@@ -149,7 +163,11 @@
 		}
 		a.begun = true
 	}
-	return a.r.Read(b)
+	n, err := a.r.Read(b)
+	if err == io.EOF && a.shared != nil {
+		a.shared.setEnded()
+	}
+	return n, err
 }
 
 func (a *attemptRest) begin() error {
@@ -283,31 +301,42 @@
 }
 
 // AskForBody makes the sender of a call be asked for the rest of its body when that is read. end
-// must be called before the response is written. It has no effect on a call whose body arrives by
-// itself.
-func (c *Call) AskForBody(w http.ResponseWriter) (end func()) {
+// must be called before the response is written. It asks at the latest then if the rest may still be
+// read while the response is streamed. It has no effect on a call whose body arrives by itself.
+func (c *Call) AskForBody(w http.ResponseWriter) (end func(resp *Response)) {
 	rest, ok := c.Body.Rest.(*bodyRest)
 	if !ok || !c.bodyWaits {
-		return func() {}
+		return func(*Response) {}
 	}
-	// Without it the server would read the rest, which nobody sends, before it responds.
-	_ = http.NewResponseController(w).EnableFullDuplex() // fails for writers of tests only
 	var mu sync.Mutex
-	ended := false
+	asked, ended := false, false
 	rest.ask = func() bool {
 		mu.Lock()
 		defer mu.Unlock()
-		if !ended {
+		if !asked && !ended {
 			w.WriteHeader(http.StatusContinue)
+			asked = true
 		}
-		return !ended
+		return asked
 	}
-	return func() {
+	return func(resp *Response) {
+		if resp.Refusal == nil && resp.Rest != nil {
+			rest.ask()
+		}
 		mu.Lock()
 		ended = true
 		mu.Unlock()
-		if rest.unread() {
-			w.Header()["Connection"] = []string{"close"} // the rest is not sent on it
-		}
 	}
 }
+
+// LeaveUnread keeps the server from reading the rest of the body when the response to its request
+// is written: it would discard what an attempt is still sending, or wait for what nobody sends. The
+// connection is closed behind the response unless the body has been read to its end.
+func (b *Body) LeaveUnread(w http.ResponseWriter) {
+	rest, ok := b.Rest.(*bodyRest)
+	if !ok || rest.ended() {
+		return
+	}
+	_ = http.NewResponseController(w).EnableFullDuplex() // fails for writers of tests only
+	w.Header()["Connection"] = []string{"close"}
+}
--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -247,7 +247,8 @@
 }
 
 // writeBody writes a request body. A rest that ends with an error leaves the body incomplete,
-// which the end of the connection shows.
+// which the end of the connection shows: at once, or once the response has been read if the
+// rest was not wanted any more.
 func (c *conn) writeBody(b *Body, rest *attemptRest, chunked bool) error {
 	var err error
 	if chunked {
@@ -255,7 +256,7 @@
 	} else {
 		err = writeFramed(c.Conn, b, rest)
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, errRestNotWanted) && !errors.Is(err, errRestTaken) {
 		c.dropUnsent()
 		_ = c.Close() // otherwise the peer would wait for the rest
 	}
--- a/internal/sidecar/clearing.go
+++ b/internal/sidecar/clearing.go
@@ -68,15 +68,15 @@
 	var unstoredSince time.Time
 	for ctx.Err() == nil {
 		next, err := n.writeQuarantine(ctx, &unstoredSince)
-		if failures++; err == nil {
-			failures = 0
-		} else {
+		if err != nil {
+			failures++
 			n.log.Warn("quarantine could not be written to the store", "event", "quarantine", "failures", failures, "err", err)
 			// The ranks keep the nodes apart when the store is back.
 			sleep(ctx, writeDelay(n.serviceRank("completions")))
 			backoff(ctx, failures)
 			continue
 		}
+		failures = 0
 		timer := time.NewTimer(next)
 		select {
 		case <-ctx.Done():
--- a/internal/sidecar/guard.go
+++ b/internal/sidecar/guard.go
@@ -145,7 +145,8 @@
 	endBody := c.AskForBody(w)
 	resp := g.handle(ctx, c)
 	defer resp.Close()
-	endBody()
+	endBody(resp)
+	c.Body.LeaveUnread(w)
 	if c.AskConfig {
 		resp.Config = g.n.state.configFreshness()
 	}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -45,16 +45,14 @@
 	h := platform.ReadRequestHeader(r.Header)
 	resp, c := n.handleRequest(r, h, arrived)
 	defer resp.Close()
-	if c != nil {
-		defer c.Body.Release()
-	}
 	if n.stopping.Load() {
 		w.Header()["Connection"] = []string{"close"}
 	}
+	if c != nil {
+		defer c.Body.Release()
+		c.Body.LeaveUnread(w)
+	}
 	if resp.Refusal != nil { // also if the caller has left: without it the server would send an empty success
-		if c != nil && c.Body.Rest != nil {
-			w.Header()["Connection"] = []string{"close"} // otherwise the server would read the rest of the body first
-		}
 		n.writeRefusal(w, r, h.ID, resp.Refusal)
 	} else {
 		writeToCaller(w, r, resp, conn)
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -201,3 +201,58 @@
 		t.Errorf("%d bytes of a response that was cut off end in order", len(data))
 	}
 }
+
+// TestEarlyLongAnswerToUpload guards against cutting off a long answer, or the upload, if a backend
+// server answers before it has read the upload and reads on while its answer is streamed.
+func TestEarlyLongAnswerToUpload(t *testing.T) {
+	const answer, upload = 2 << 20, 1 << 20
+	c := prepareCluster(t, "stock", "mill")
+	c.configure()
+	for _, n := range c.nodes {
+		c.startNode(n)
+	}
+	l, err := net.Listen("tcp", c.nodes[0].settings.BackendAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	read := make(chan int, 8)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				req, err := http.ReadRequest(r)
+				if err != nil || req.Method != http.MethodPost {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nInstance-Id: i-node-0\r\nContent-Length: 0\r\n\r\n")
+					return
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: x\r\nContent-Length: %d\r\n\r\n%s",
+					req.Header.Get("Request-Id"), answer, strings.Repeat("a", answer/2))
+				body, _ := io.ReadAll(req.Body)
+				io.WriteString(conn, strings.Repeat("a", answer/2))
+				read <- len(body)
+			}()
+		}
+	}()
+	c.startBackendBehind(c.nodes[0], freeAddress(t))
+	c.startBackend(c.nodes[1], "")
+	c.waitReady()
+	u := newUploads(c)
+	for _, n := range c.nodes {
+		for _, chunked := range []bool{false, true} {
+			_, r := u.post(n, "/stock/order/1", upload, chunked)
+			if !r.served() || len(r.body) != answer {
+				t.Errorf("through %s, chunked %t: %d with %d bytes of %d, %v", n.settings.Node, chunked, r.status, len(r.body), answer, r.err)
+				continue
+			}
+			if got := <-read; got != upload {
+				t.Errorf("through %s, chunked %t: the backend server has read %d bytes of %d", n.settings.Node, chunked, got, upload)
+			}
+		}
+	}
+}
