--- a/internal/sidecar/crashes.go
+++ b/internal/sidecar/crashes.go
@@ -13,7 +13,6 @@
 
 	"github.com/teaselseam/teaselseam/internal/fleet"
 	"github.com/teaselseam/teaselseam/internal/hop"
-	"github.com/teaselseam/teaselseam/internal/memory"
 	"github.com/teaselseam/teaselseam/internal/quarantine"
 	"github.com/teaselseam/teaselseam/internal/request"
 	"github.com/teaselseam/teaselseam/platform"
@@ -53,18 +52,15 @@
 
 // fingerprint identifies a request by route, workspace, method, URI and body. A request
 // that is sent again has the same fingerprint, although its request ID is new and it may
-// come through the node of another service.
+// come through the node of another service. Of a long body only the part that is held counts,
+// which is less while memory is short.
 func fingerprint(c *hop.Call) quarantine.Fingerprint {
-	held := c.Body.Data
-	if c.Body.Rest != nil { // how much is held depends on the memory that is left
-		held = held[:min(len(held), memory.Floor)]
-	}
-	data := make([]byte, 0, len(c.Method)+len(c.URI)+len(held)+2)
+	data := make([]byte, 0, len(c.Method)+len(c.URI)+len(c.Body.Data)+2)
 	data = append(data, c.Method...)
 	data = append(data, ' ')
 	data = append(data, c.URI...)
 	data = append(data, '\n')
-	data = append(data, held...)
+	data = append(data, c.Body.Data...)
 	return quarantine.BodyFingerprint(c.Route, c.Workspace, data)
 }
 
--- a/internal/sidecar/suspects_test.go
+++ b/internal/sidecar/suspects_test.go
@@ -131,6 +131,18 @@
 	}
 }
 
+// TestFingerprintsOfLongBodies guards against taking long bodies with the same beginning for one
+// request: a crash of one would make a suspect of the others.
+func TestFingerprintsOfLongBodies(t *testing.T) {
+	of := func(end string) quarantine.Fingerprint {
+		data := strings.Repeat("form ", hop.MaxBufferedBody/5-10) + end
+		return fingerprint(&hop.Call{Method: http.MethodPost, URI: "/stock/order/1", Body: hop.Body{Data: []byte(data), Rest: strings.NewReader("rest"), Length: -1}})
+	}
+	if of("one") == of("two") {
+		t.Error("two long bodies that differ in what is held have the same fingerprint")
+	}
+}
+
 // TestLostDialIsNoCrash guards against counting a crash of a backend server that runs on but
 // does not take a connection: its requests would become suspects.
 func TestLostDialIsNoCrash(t *testing.T) {
