--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.."
 [ -x target/teaselseamd ] && [ -x target/review-3/standins-3 ] || exit 2
-exec target/review-3/standins-3 drain-clock review/14
+exec target/review-3/standins-3 quota-join review/14
